--- /dev/null
+++ b/crates/benchlink/src/read.rs
@@ -0,0 +1,207 @@
+//! Messages of the wire as they are read.
+
+use myrtlegauge::interface::{End, Entry, Load, Note, Settings, Standing};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub struct Envelope<'a> {
+    pub name: String,
+    pub body: &'a str,
+}
+
+impl<'a> Envelope<'a> {
+    pub fn read(number: usize, text: &'a str) -> Result<Self, String> {
+        let read: BTreeMap<String, &'a RawValue> =
+            serde_json::from_str(text).map_err(|e| format!("line {number}: not a message: {e}"))?;
+        let mut read = read.into_iter();
+        match (read.next(), read.next()) {
+            (Some((name, body)), None) => Ok(Self { name, body: body.get() }),
+            _ => Err(format!("line {number}: not a message: one key is wanted")),
+        }
+    }
+}
+
+/// Reads a message's fields; what is missing or ill-typed is named.
+pub fn body<'a, T: Deserialize<'a>>(number: usize, name: &str, text: &'a str) -> Result<T, String> {
+    serde_json::from_str(text).map_err(|e| format!("line {number}: {name}: {e}"))
+}
+
+pub fn duration(ms: f64) -> Duration {
+    Duration::try_from_secs_f64((ms / 1e3).max(0.0)).unwrap_or(Duration::ZERO)
+}
+
+pub fn ticket(number: usize, name: &str, text: &str) -> Result<u64, String> {
+    let read = u64::from_str_radix(text, 16).ok().filter(|_| text.len() == 16);
+    read.ok_or_else(|| format!("line {number}: {name}: ticket {text:?} is not 16 hex digits"))
+}
+
+#[derive(Deserialize)]
+pub struct Begin {
+    pub moment_ms: f64,
+}
+
+#[derive(Deserialize)]
+pub struct Instance {
+    pub i: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Init {
+    pub init_seed: u64,
+    pub facts: Settings,
+}
+
+#[derive(Deserialize)]
+pub struct Call<'a> {
+    #[serde(borrow)]
+    pub ticket: Cow<'a, str>,
+    pub lane: usize,
+    #[serde(default)]
+    pub item: u64,
+    pub ttl_ms: f64,
+    #[serde(default)]
+    pub kbytes: f64,
+    #[serde(default)]
+    pub purge_group: u64,
+    #[serde(default)]
+    pub slice: u32,
+}
+
+#[derive(Deserialize)]
+pub struct Response<'a> {
+    #[serde(borrow)]
+    pub ticket: Cow<'a, str>,
+    pub hop: u32,
+    pub result: u32,
+    #[serde(default)]
+    pub spent_ms: f64,
+    #[serde(default)]
+    pub no_more: bool,
+    #[serde(default)]
+    pub detail: u32,
+    #[serde(default)]
+    pub source_wait_ms: f64,
+    #[serde(borrow, default)]
+    pub gauge: BTreeMap<Cow<'a, str>, f64>,
+}
+
+#[derive(Deserialize)]
+pub struct Named<'a> {
+    #[serde(borrow)]
+    pub ticket: Cow<'a, str>,
+    #[serde(default)]
+    pub hop: u32,
+}
+
+#[derive(Deserialize)]
+pub struct Endpoints<'a> {
+    #[serde(borrow)]
+    pub kind: Cow<'a, str>,
+    #[serde(borrow, default)]
+    pub items: Vec<Item<'a>>,
+}
+
+#[derive(Deserialize)]
+pub struct Item<'a> {
+    #[serde(borrow)]
+    pub lifecycle: Cow<'a, str>,
+    #[serde(default)]
+    pub since_ms: f64,
+    #[serde(borrow)]
+    pub host: Cow<'a, str>,
+    #[serde(default)]
+    pub stripe: u64,
+    #[serde(default = "one")]
+    pub units: f64,
+    #[serde(default)]
+    pub generation_hw: usize,
+    #[serde(default)]
+    pub failure_domain: usize,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Item<'_> {
+    pub fn entry(&self, host: usize) -> Option<Entry> {
+        let standing = match &*self.lifecycle {
+            "on" => Standing::On,
+            "fading" => Standing::Draining,
+            "off" => Standing::Gone,
+            _ => return None,
+        };
+        Some(Entry {
+            host,
+            mark: mark(&self.host),
+            standing,
+            started: duration(self.since_ms),
+            zone: self.failure_domain,
+            cell: self.stripe,
+            kind: self.generation_hw,
+            units: self.units,
+        })
+    }
+}
+
+/// FNV-1a of the host's id: the same number at every router.
+fn mark(host: &str) -> u64 {
+    host.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+#[derive(Deserialize)]
+pub struct ExpiredNow {
+    #[serde(default)]
+    pub oldness_ms: f64,
+    pub item: Option<u64>,
+    pub set_no: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Sampled<'a> {
+    #[serde(borrow)]
+    pub host: Cow<'a, str>,
+    pub result: u32,
+    #[serde(borrow, default)]
+    pub gauge: BTreeMap<Cow<'a, str>, f64>,
+}
+
+pub fn load(gauge: &BTreeMap<Cow<'_, str>, f64>) -> Load {
+    let told = |name: &str| gauge.get(name).copied();
+    Load { util: told("cpu_share"), in_hand: told("busy_reqs"), link_fill: told("x1"), hit_share: told("x0") }
+}
+
+pub fn end(code: u32) -> Option<End> {
+    Some(match code {
+        0 => End::Returned,
+        1 => End::Miss,
+        255 => End::Errored,
+        254 => End::Full,
+        253 => End::TimedOut,
+        252 => End::NoConnection,
+        251 => End::Reset,
+        250 => End::Withdrawn,
+        249 => End::NeverSent,
+        _ => return None,
+    })
+}
+
+pub fn note(code: u32) -> Option<Note> {
+    Some(match code {
+        0 => Note::Untold,
+        1 => Note::Hit,
+        2 => Note::Filled,
+        3 => Note::FilledFromOrigin,
+        4 => Note::Joined,
+        5 => Note::Stale,
+        6 => Note::SourceRefused,
+        7 => Note::SourceBroke,
+        8 => Note::SourceLacks,
+        9 => Note::NoFillPlace,
+        10 => Note::OriginFailed,
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,137 @@
+//! What goes into the decision module and the writer that its decisions go to.
+
+use std::time::Duration;
+
+/// Place of a GET in hand; reused once `Dispatch::settled` has named it.
+pub type Place = usize;
+/// Small index of a cache host, parent or origin, given at the door.
+pub type HostIndex = usize;
+
+/// The settings as they came, names to values.
+pub type Settings = serde_json::Map<String, serde_json::Value>;
+
+/// A client's GET as it was taken.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Get {
+    pub ds: usize,
+    pub object: u64,
+    pub part: u32,
+    pub group: u64,
+    /// Kilobytes to be sent; 0 where untold.
+    pub size_kb: f64,
+    pub viewer_timeout: Duration,
+}
+
+/// How a forward ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Returned,
+    Miss,
+    Errored,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Withdrawn,
+    NeverSent,
+}
+
+/// What the answer says of the copy or of the fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Untold,
+    Hit,
+    Filled,
+    FilledFromOrigin,
+    Joined,
+    Stale,
+    SourceRefused,
+    SourceBroke,
+    SourceLacks,
+    NoFillPlace,
+    OriginFailed,
+}
+
+/// A host's own report; what is not told is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub util: Option<f64>,
+    pub in_hand: Option<f64>,
+    pub link_fill: Option<f64>,
+    pub hit_share: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub hop: u32,
+    pub end: End,
+    pub spent: Duration,
+    /// The GET has had its final answer, by this outcome or before it.
+    pub closed: bool,
+    pub note: Note,
+    pub source_wait: Duration,
+    pub load: Load,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    On,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of hosts.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub host: HostIndex,
+    /// The same number for this host at every router.
+    pub mark: u64,
+    pub standing: Standing,
+    /// When it last started; zero: long ago.
+    pub started: Duration,
+    pub zone: usize,
+    pub cell: u64,
+    pub kind: usize,
+    pub units: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    /// The whole list as this router last held it, perhaps out of date.
+    Kept,
+    /// A call for the list failed; what was known stays.
+    Failed,
+}
+
+/// One forward as it is to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Forward {
+    pub host: HostIndex,
+    /// Where a miss is filled from; the host itself: nowhere.
+    pub source: HostIndex,
+    /// Zero: until the client gives up.
+    pub timeout: Duration,
+    pub keep: u8,
+    /// Zero: the fresh time of the delivery service, or any age where it has none.
+    pub accepted_age: Duration,
+    pub join: bool,
+    pub held_only: bool,
+    pub renew: bool,
+}
+
+/// Takes the decisions, in order.
+pub trait Dispatch {
+    fn forward(&mut self, get: Place, forward: &Forward);
+    fn withdraw(&mut self, get: Place, hop: u32);
+    fn shed(&mut self, get: Place, retry_after: Option<Duration>);
+    fn error(&mut self, get: Place);
+    /// Nothing more will be said of this GET; its place may be reused.
+    fn settled(&mut self, get: Place);
+    fn wake(&mut self, after: Duration);
+    fn probe(&mut self, host: HostIndex);
+    /// Follow the list of hosts from now on.
+    fn follow_list(&mut self);
+    fn log(&mut self, line: std::fmt::Arguments<'_>);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! The decisions of a traffic router for a two-tier cache. No I/O happens here.
+
+pub mod decide;
+pub mod interface;
