--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 mod write;
 
 use myrtlegauge::decide::{Round, Router};
-use myrtlegauge::interface::{Get, ListKind, Load, Outcome, Settings};
+use myrtlegauge::interface::{Get, ListKind, Load, Outcome, Values};
 use read::{Envelope, body, duration};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -114,7 +114,7 @@
     Ok(())
 }
 
-fn start(number: usize, facts: &Settings, seed: u64) -> Result<Router, String> {
+fn start(number: usize, facts: &Values, seed: u64) -> Result<Router, String> {
     Router::new(facts, seed).map_err(|fault| format!("line {number}: Init: facts: {fault}"))
 }
 
--- a/crates/benchlink/src/read.rs
+++ b/crates/benchlink/src/read.rs
@@ -1,6 +1,6 @@
 //! Messages of the wire as they are read.
 
-use myrtlegauge::interface::{End, Entry, Load, Note, Settings, Standing};
+use myrtlegauge::interface::{End, Entry, Load, Note, Standing, Values};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
@@ -51,7 +51,7 @@
 #[derive(Deserialize)]
 pub struct Init {
     pub init_seed: u64,
-    pub facts: Settings,
+    pub facts: Values,
 }
 
 #[derive(Deserialize)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,8 +7,7 @@
 /// Small index of a cache host, parent or origin, given at the door.
 pub type HostIndex = usize;
 
-/// The settings as they came, names to values.
-pub type Settings = serde_json::Map<String, serde_json::Value>;
+pub use crate::values::Values;
 
 /// A client's GET as it was taken.
 #[derive(Clone, Copy, Debug, Default)]
@@ -73,15 +72,16 @@
     pub load: Load,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     On,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the list of hosts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub host: HostIndex,
     /// The same number for this host at every router.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod decide;
 pub mod interface;
+mod ring;
+mod values;
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,76 @@
+//! The consistent-hash ring and the window of counts, as plain structures: what goes in is decided elsewhere.
+
+use crate::interface::HostIndex;
+use std::time::Duration;
+
+/// Spreads the bits of a number.
+pub fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Members that a ring holds at most: one bit each while it is walked.
+const MEMBERS: usize = 128;
+
+#[derive(Default)]
+pub struct Ring {
+    points: Vec<(u64, usize)>,
+    members: Vec<HostIndex>,
+}
+
+impl Ring {
+    /// Lays the ring anew from each member's mark and number of points.
+    pub fn lay(&mut self, members: impl Iterator<Item = (HostIndex, u64, u64)>) {
+        self.points.clear();
+        self.members.clear();
+        for (host, mark, points) in members.take(MEMBERS) {
+            let member = self.members.len();
+            self.members.push(host);
+            self.points.extend((0..points).map(|i| (mix(mark ^ mix(i)), member)));
+        }
+        self.points.sort_unstable();
+    }
+
+    /// The members in the order in which they follow `key`, each once.
+    pub fn walk(&self, key: u64) -> impl Iterator<Item = HostIndex> {
+        let start = self.points.partition_point(|&(at, _)| at < key);
+        let mut met = 0u128;
+        self.points[start..].iter().chain(&self.points[..start]).filter_map(move |&(_, member)| {
+            let new = met & (1 << member) == 0;
+            met |= 1 << member;
+            new.then(|| self.members[member])
+        })
+    }
+}
+
+/// Two running counts over a sliding window of `SLOTS` slots.
+pub struct Window<const SLOTS: usize> {
+    slots: [(u32, u32); SLOTS],
+    slot: usize,
+    long: Duration,
+}
+
+impl<const SLOTS: usize> Window<SLOTS> {
+    pub fn new(long: Duration) -> Self {
+        Self { slots: [(0, 0); SLOTS], slot: 0, long }
+    }
+
+    pub fn turn(&mut self, now: Duration) {
+        let slot = (now.as_millis() * SLOTS as u128 / self.long.as_millis()) as usize;
+        for old in (self.slot + 1..=slot).rev().take(SLOTS) {
+            self.slots[old % SLOTS] = (0, 0);
+        }
+        self.slot = slot;
+    }
+
+    pub fn count(&mut self, marked: bool) {
+        let (all, with) = &mut self.slots[self.slot % SLOTS];
+        (*all, *with) = (*all + 1, *with + u32::from(marked));
+    }
+
+    /// All that was counted, and how much of it was marked.
+    pub fn sums(&self) -> (u32, u32) {
+        self.slots.iter().fold((0, 0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
+    }
+}
--- /dev/null
+++ b/src/values.rs
@@ -0,0 +1,38 @@
+//! Reading the settings as they were handed over: names, dots between the levels, to values.
+
+use serde_json::Value;
+use std::time::Duration;
+
+/// The settings as they came, names to values.
+pub type Values = serde_json::Map<String, Value>;
+
+fn find<'a>(values: &'a Values, name: &str) -> Option<&'a Value> {
+    let (first, rest) = name.split_once('.').unwrap_or((name, ""));
+    rest.split('.').filter(|step| !step.is_empty()).try_fold(values.get(first)?, |value, step| match value {
+        Value::Array(list) => list.get(step.parse::<usize>().ok()?),
+        _ => value.get(step),
+    })
+}
+
+pub fn number(values: &Values, name: &str) -> Result<f64, String> {
+    let value = find(values, name).ok_or_else(|| format!("setting {name} is missing"))?;
+    value.as_f64().ok_or_else(|| format!("setting {name} is not a number"))
+}
+
+pub fn span(values: &Values, name: &str) -> Result<Duration, String> {
+    let ms = number(values, name)?.max(0.0);
+    Duration::try_from_secs_f64(ms / 1e3).map_err(|_| format!("setting {name} is not a time"))
+}
+
+pub fn flag(values: &Values, name: &str) -> bool {
+    find(values, name).and_then(Value::as_bool).unwrap_or(false)
+}
+
+pub fn text<'a>(values: &'a Values, name: &str) -> &'a str {
+    find(values, name).and_then(Value::as_str).unwrap_or("")
+}
+
+pub fn list<'a>(values: &'a Values, name: &str) -> Result<&'a [Value], String> {
+    let value = find(values, name).ok_or_else(|| format!("setting {name} is missing"))?;
+    value.as_array().map(Vec::as_slice).ok_or_else(|| format!("setting {name} is not a list"))
+}
