--- a/src/decide.rs
+++ b/src/decide.rs
@@ -172,6 +172,9 @@
     seen: Box<[u32]>,
     /// Transfers that fit a link of one unit, as learnt.
     fit: f64,
+    /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
+    carried: f64,
+    sent_work: f64,
     waking: bool,
     /// When to ask to follow the list; never where it comes unasked.
     follow_at: Duration,
@@ -325,6 +328,8 @@
             purges: BTreeMap::new(),
             seen: vec![0; SEEN].into(),
             fit: 1.0,
+            carried: 0.0,
+            sent_work: 0.0,
             waking: false,
             follow_at: if text(told, "discovery") == "on_request" { ZERO } else { Duration::MAX },
         })
@@ -388,7 +393,7 @@
     /// where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
-        let room = self.room(host);
+        let room = if self.site.learns { self.carried * self.site.zone_routers } else { self.room(host) };
         let (site, h) = (&self.site, &mut self.hosts[host]);
         let parent = site.parent(&h.entry);
         let start = if parent { &site.parent_start } else { &site.cache_start };
@@ -580,6 +585,7 @@
         g.out = Some(Sent { hop: hops, host, source: forward.source, at: now, overdue, withdrawn: false });
         g.hops += 1;
         r.hosts[host].out += 1.0;
+        r.sent_work += r.services[get.ds].sending;
         self.out.forward(place, &forward);
     }
 
@@ -661,9 +667,8 @@
         }
         match o.end {
             End::Returned | End::Miss => h.judge(now, true),
-            End::Errored | End::Full if source_failed && !straight => h.judge(now, true),
-            End::Full if o.note == Note::NoFillPlace => {}
-            End::Errored | End::Full | End::NoConnection | End::Reset => h.judge(now, false),
+            End::Errored if source_failed && !straight => h.judge(now, true),
+            End::Errored | End::NoConnection | End::Reset => h.judge(now, false),
             End::TimedOut if !sent.withdrawn => h.judge(now, false),
             _ => {}
         }
@@ -751,6 +756,10 @@
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
+        let warm =
+            r.caches.members().filter(|&h| r.hosts[h].usable(now) && r.warmth(h, now).is_none()).count();
+        let rate = std::mem::take(&mut r.sent_work) / warm.max(1) as f64 / SWEEP.as_secs_f64();
+        r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         for (place, g) in r.gets.iter_mut() {
             let settled = g.answered || g.streaming || g.hops >= r.site.most_forwards;
             let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -32,6 +32,10 @@
         self.points.sort_unstable();
     }
 
+    pub fn members(&self) -> impl Iterator<Item = HostIndex> {
+        self.members.iter().copied()
+    }
+
     /// The members in the order in which they follow `key`, each once.
     pub fn walk(&self, key: u64) -> impl Iterator<Item = HostIndex> {
         let start = self.points.partition_point(|&(at, _)| at < key);
