Spill only at three times the room; wait for a fill of the same object that is out

Cause: passing GETs on at 1.3 times the room copied hot and slow objects to every cache of the location, which shrank what the caches together hold; fills slowed, more was out, more was passed on. Without notes a full answer is the source's.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,11 +49,13 @@
 /// share of a cold host's budget that the routers together use; the rest is for chance and late lists.
 const BUDGET_PART: f64 = 0.5;
 /// transfers over what a link fits before a cache passes GETs on; above 1, so that the ring rules the ordinary path.
-const BOUND: f64 = 1.3;
+const BOUND: f64 = 3.0;
 /// share of the full pace under which a hit tells that its link was full.
 const CROWDED: f64 = 0.8;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
+/// ms; a copy returned so lately is taken to be held still: under what caches keep unused.
+const HELD: Duration = Duration::from_millis(5000);
 /// objects remembered as seen; a power of two, some minutes of a busy router.
 const SEEN: usize = 1 << 16;
 /// ms; mean wait told to a client that was shed, scattered by half.
@@ -134,6 +136,7 @@
 #[derive(Clone, Copy)]
 struct Sent {
     hop: u32,
+    key: u64,
     host: HostIndex,
     source: HostIndex,
     at: Duration,
@@ -154,6 +157,9 @@
     neighbour_lacks: bool,
     answered: bool,
     streaming: bool,
+    /// Held for another GET's fill of the same object, until then at most.
+    waiting: bool,
+    waits_until: Duration,
 }
 
 pub struct Router {
@@ -169,7 +175,8 @@
     busy: bool,
     /// By group and object (none: the whole group), when it was purged.
     purges: BTreeMap<(u64, Option<u64>), Duration>,
-    seen: Box<[u32]>,
+    /// By key: its mark, and when a copy of it was last returned.
+    seen: Box<[(u32, Duration)]>,
     /// Transfers that fit a link of one unit, as learnt.
     fit: f64,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
@@ -326,7 +333,7 @@
             fills: Window::new(WINDOW),
             busy: false,
             purges: BTreeMap::new(),
-            seen: vec![0; SEEN].into(),
+            seen: vec![(0, ZERO); SEEN].into(),
             fit: 1.0,
             carried: 0.0,
             sent_work: 0.0,
@@ -421,6 +428,10 @@
         ds.idempotent || ds.tokened && same && now + self.site.tick < since + ds.token_window
     }
 
+    fn purged_at(&self, get: &Get) -> Option<Duration> {
+        [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max().copied()
+    }
+
     /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a purge,
     /// for zero means any age.
     fn oldest(&self, get: &Get, now: Duration) -> Duration {
@@ -490,9 +501,28 @@
 
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
     fn rank(&mut self, key: u64) -> u8 {
-        let mark = (key >> 32) as u32 | 1;
-        if std::mem::replace(&mut self.seen[key as usize % SEEN], mark) == mark { 2 } else { 1 }
+        let (mark, seen) = (key_mark(key), &mut self.seen[key as usize % SEEN]);
+        if seen.0 == mark {
+            return 2;
+        }
+        *seen = (mark, ZERO);
+        1
     }
+
+    /// A first fill of the same object is out and GETs can't join it: waiting for it spares the links and the origin
+    /// the same bytes again. Holds against any rush for what no cache has: a purge, a new hot object, a cold cache.
+    fn waits(&self, place: Place, now: Duration) -> bool {
+        let g = &self.gets[place];
+        let (mark, at) = self.seen[g.key as usize % SEEN];
+        let purged = self.purged_at(&g.get).unwrap_or(ZERO);
+        let held = mark == key_mark(g.key) && at > purged && now < at + HELD;
+        let fills = |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn);
+        !held && !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
+    }
+}
+
+fn key_mark(key: u64) -> u32 {
+    (key >> 32) as u32 | 1
 }
 
 pub struct Round<'a, D: Dispatch> {
@@ -522,6 +552,7 @@
             blend(&mut ds.sending, get.size_kb / r.site.flow);
         }
         let sending = if get.size_kb > 0.0 { get.size_kb / r.site.flow } else { ds.sending };
+        let spare = ds.objective + (ds.stretch - 1.0) * sending - PATIENCE;
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
@@ -534,6 +565,8 @@
             neighbour_lacks: false,
             answered: false,
             streaming: false,
+            waiting: false,
+            waits_until: self.now + Duration::from_secs_f64(spare.max(0.0)).min(get.viewer_timeout / 2),
         });
         self.decide(place);
     }
@@ -550,6 +583,10 @@
         if hops >= r.site.most_forwards || left <= r.site.tick * 2 {
             return self.give_up(place);
         }
+        if !write && r.waits(place, now) {
+            r.gets[place].waiting = true;
+            return;
+        }
         let chosen = if write && r.site.direct { None } else { r.cache(place, now) };
         if let Some((_, pressure)) = chosen {
             if pressure > BOUND && sending * pressure > objective.max(sending * BOUND) {
@@ -582,10 +619,11 @@
         let patience = (objective - sending * 1.1).max(slow + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
-        g.out = Some(Sent { hop: hops, host, source: forward.source, at: now, overdue, withdrawn: false });
+        g.waiting = false;
+        g.out =
+            Some(Sent { hop: hops, key, host, source: forward.source, at: now, overdue, withdrawn: false });
         g.hops += 1;
         r.hosts[host].out += 1.0;
-        r.sent_work += r.services[get.ds].sending;
         self.out.forward(place, &forward);
     }
 
@@ -653,13 +691,24 @@
         } else {
             self.give_up(place);
         }
+        self.release(|g| g.key == sent.key);
+    }
+
+    /// Decides anew on GETs that waited for a fill.
+    fn release(&mut self, free: impl Fn(&InHand) -> bool) {
+        for place in 0..self.r.gets.capacity() {
+            if self.r.gets.get(place).is_some_and(|g| g.waiting && free(g)) {
+                self.r.gets[place].waiting = false;
+                self.decide(place);
+            }
+        }
     }
 
     /// What an outcome tells of the host, the source and the origin.
     fn learn(&mut self, sent: &Sent, o: &Outcome, ds: usize, sending: f64) {
         let (now, r, straight) = (self.now, &mut *self.r, sent.host == sent.source);
         let source_failed = matches!(o.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
-            || !r.site.notes && o.end == End::Errored;
+            || !r.site.notes && matches!(o.end, End::Errored | End::Full);
         let h = &mut r.hosts[sent.host];
         h.out = (h.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
@@ -680,8 +729,13 @@
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         if o.end == End::Returned {
+            r.sent_work += s.sending;
             blend(&mut s.misses, f64::from(u8::from(!hit)));
         }
+        let seen = &mut r.seen[sent.key as usize % SEEN];
+        if o.end == End::Returned && seen.0 == key_mark(sent.key) {
+            seen.1 = now;
+        }
         if hit && o.end == End::Returned {
             let pace = (sending / spent.max(1e-3)).min(1.0);
             blend(&mut h.pace, pace);
@@ -774,6 +828,7 @@
             }
             self.out.withdraw(place, sent.hop);
         }
+        self.release(|g| now >= g.waits_until);
     }
 
     /// Closes a round: the design's return to idle, purges that all have obeyed, the next wake-up.
