A cold budget rests on what warm caches returned; hopeless tries are shed at once

Cause: work returned by cold caches counted as a warm one's, so the budget grew with its own spending; a try whose viewer timeout was under the wake-up's step could be held past it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -566,7 +566,8 @@
             answered: false,
             streaming: false,
             waiting: false,
-            waits_until: self.now + Duration::from_secs_f64(spare.max(0.0)).min(get.viewer_timeout / 2),
+            waits_until: self.now
+                + Duration::from_secs_f64(spare.max(0.0)).min((get.viewer_timeout / 2).saturating_sub(SWEEP)),
         });
         self.decide(place);
     }
@@ -580,7 +581,10 @@
         let ds = &r.services[get.ds];
         let (write, work) = (ds.write, ds.sending * ds.misses);
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        if hops >= r.site.most_forwards || left <= r.site.tick * 2 {
+        if hops >= r.site.most_forwards
+            || left <= r.site.tick * 2
+            || get.size_kb > 0.0 && left.as_secs_f64() < sending
+        {
             return self.give_up(place);
         }
         if !write && r.waits(place, now) {
@@ -709,6 +713,7 @@
         let (now, r, straight) = (self.now, &mut *self.r, sent.host == sent.source);
         let source_failed = matches!(o.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
             || !r.site.notes && matches!(o.end, End::Errored | End::Full);
+        let cold = r.warmth(sent.host, now).is_some();
         let h = &mut r.hosts[sent.host];
         h.out = (h.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
@@ -729,7 +734,7 @@
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         if o.end == End::Returned {
-            r.sent_work += s.sending;
+            r.sent_work += if cold { 0.0 } else { s.sending };
             blend(&mut s.misses, f64::from(u8::from(!hit)));
         }
         let seen = &mut r.seen[sent.key as usize % SEEN];
@@ -812,8 +817,10 @@
         r.waking = false;
         let warm =
             r.caches.members().filter(|&h| r.hosts[h].usable(now) && r.warmth(h, now).is_none()).count();
-        let rate = std::mem::take(&mut r.sent_work) / warm.max(1) as f64 / SWEEP.as_secs_f64();
-        r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
+        if warm > 0 {
+            let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
+            r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
+        }
         for (place, g) in r.gets.iter_mut() {
             let settled = g.answered || g.streaming || g.hops >= r.site.most_forwards;
             let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
