Bound the fills out together by whether they come in time

Cause: after a flush, with a slow origin or in overload, fills shared full links and a slow origin until all came late, the origin stopped, and fill places ran out; shedding by a cache's own load saw none of it. The bound also holds against dead parents and stuck fill places; a single bad source can spoil it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,6 +54,14 @@
 const CROWDED: f64 = 0.8;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
+/// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble is over.
+const FILLS_FIRST: f64 = 32.0;
+const FILLS_LEAST: f64 = 2.0;
+/// share of the bound that is in use when a fill in time raises it by one.
+const FILLS_USED: f64 = 0.5;
+/// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
+const FILLS_CUT: f64 = 0.8;
+const FILLS_CUT_EVERY: Duration = Duration::from_millis(250);
 /// ms; a copy returned so lately is taken to be held still: under what caches keep unused.
 const HELD: Duration = Duration::from_millis(5000);
 /// objects remembered as seen; a power of two, some minutes of a busy router.
@@ -141,6 +149,8 @@
     source: HostIndex,
     at: Duration,
     overdue: Duration,
+    /// Probably no hit, and counted in `fills_out`.
+    fill: bool,
     withdrawn: bool,
 }
 
@@ -179,6 +189,10 @@
     seen: Box<[(u32, Duration)]>,
     /// Transfers that fit a link of one unit, as learnt.
     fit: f64,
+    /// Forwards out that are probably fills, how many may be, and when that was last cut.
+    fills_out: f64,
+    fill_limit: f64,
+    fills_cut_at: Duration,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -335,6 +349,9 @@
             purges: BTreeMap::new(),
             seen: vec![(0, ZERO); SEEN].into(),
             fit: 1.0,
+            fills_out: 0.0,
+            fill_limit: FILLS_FIRST,
+            fills_cut_at: ZERO,
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -509,15 +526,29 @@
         1
     }
 
+    /// A copy was returned lately and not purged since, so that a cache probably holds it still.
+    fn held(&self, g: &InHand, now: Duration) -> bool {
+        let (mark, at) = self.seen[g.key as usize % SEEN];
+        mark == key_mark(g.key) && at > self.purged_at(&g.get).unwrap_or(ZERO) && now < at + HELD
+    }
+
     /// A first fill of the same object is out and GETs can't join it: waiting for it spares the links and the origin
     /// the same bytes again. Holds against any rush for what no cache has: a purge, a new hot object, a cold cache.
-    fn waits(&self, place: Place, now: Duration) -> bool {
-        let g = &self.gets[place];
-        let (mark, at) = self.seen[g.key as usize % SEEN];
-        let purged = self.purged_at(&g.get).unwrap_or(ZERO);
-        let held = mark == key_mark(g.key) && at > purged && now < at + HELD;
+    fn waits(&self, g: &InHand, now: Duration) -> bool {
         let fills = |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn);
-        !held && !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
+        !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
+    }
+
+    /// Bounds the fills that are out together by whether fills come in time: guards the location's link, the parents
+    /// and the origin alike, whatever slows them. It hurts where one bad source spoils the count of the others.
+    fn bound_fills(&mut self, in_time: bool, now: Duration) {
+        if in_time {
+            let used = self.fills_out >= self.fill_limit * FILLS_USED;
+            self.fill_limit += if used { 1.0 } else { 0.0 };
+        } else if now >= self.fills_cut_at + FILLS_CUT_EVERY {
+            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(FILLS_LEAST);
+            self.fills_cut_at = now;
+        }
     }
 }
 
@@ -587,10 +618,14 @@
         {
             return self.give_up(place);
         }
-        if !write && r.waits(place, now) {
+        let fill = !write && !r.held(&r.gets[place], now);
+        if fill && r.waits(&r.gets[place], now) {
             r.gets[place].waiting = true;
             return;
         }
+        if fill && r.fills_out >= r.fill_limit {
+            return self.give_up(place);
+        }
         let chosen = if write && r.site.direct { None } else { r.cache(place, now) };
         if let Some((_, pressure)) = chosen {
             if pressure > BOUND && sending * pressure > objective.max(sending * BOUND) {
@@ -624,8 +659,17 @@
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
         g.waiting = false;
-        g.out =
-            Some(Sent { hop: hops, key, host, source: forward.source, at: now, overdue, withdrawn: false });
+        g.out = Some(Sent {
+            hop: hops,
+            key,
+            host,
+            source: forward.source,
+            at: now,
+            overdue,
+            fill,
+            withdrawn: false,
+        });
+        r.fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
@@ -723,16 +767,24 @@
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
             End::Errored | End::NoConnection | End::Reset => h.judge(now, false),
-            End::TimedOut if !sent.withdrawn => h.judge(now, false),
+            End::TimedOut if !sent.withdrawn && h.last_answer < sent.at => h.judge(now, false),
             _ => {}
         }
         let s = &mut r.services[ds];
         if s.write {
             return;
         }
+        let in_time = o.spent.as_secs_f64() <= s.objective + s.stretch * sending;
+        let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
+        if sent.fill {
+            r.fills_out -= 1.0;
+        }
+        if filled && o.end == End::Returned || sent.fill && !matches!(o.end, End::Returned | End::Miss) {
+            r.bound_fills(in_time && filled, now);
+        }
+        let (s, h) = (&mut r.services[ds], &mut r.hosts[sent.host]);
         let spent = o.spent.as_secs_f64();
         let hit = matches!(o.note, Note::Hit | Note::Stale);
-        let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         if o.end == End::Returned {
             r.sent_work += if cold { 0.0 } else { s.sending };
             blend(&mut s.misses, f64::from(u8::from(!hit)));
