--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,10 +48,18 @@
 const MOST_FORWARDS: u32 = 3;
 /// share of a cold host's budget that the routers together use; the rest is for chance and late lists.
 const BUDGET_PART: f64 = 0.5;
-/// transfers over what a link fits before a cache passes GETs on; above 1, so that the ring rules the ordinary path.
-const BOUND: f64 = 3.0;
-/// share of the full pace under which a hit tells that its link was full.
-const CROWDED: f64 = 0.8;
+/// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
+const BOUND: f64 = 2.0;
+/// pace of hits under which a cache that is also slower than its neighbours by so much passes keys on: the ring rules
+/// the ordinary path, where hits go at more than half their pace.
+const CROWDED: f64 = 0.5;
+const UNEVEN: f64 = 0.8;
+/// share of its keys that a crowded cache passes on at each wake-up, a quarter of it comes back at others, and the
+/// least it keeps: some seconds to move a whole part, so that copies can follow.
+const SHARE_STEP: f64 = 0.004;
+const SHARE_LEAST: f64 = 0.2;
+/// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some seconds.
+const PACE_FADE: f64 = 0.003;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
 /// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble is over.
@@ -117,8 +125,7 @@
     tick: Duration,
     most_forwards: u32,
     origin_rate: Option<f64>,
-    /// Weights are not told: how much a link fits is learnt.
-    learns: bool,
+    weights: bool,
 }
 
 #[derive(Clone)]
@@ -134,8 +141,9 @@
     cold_since: Duration,
     /// Forwards out there.
     out: f64,
-    /// Sending time over time taken, of hits.
+    /// Sending time over time taken, of hits, and the share of its part of the ring that the host gets.
     pace: f64,
+    share: f64,
     /// Work sent while cold, s, draining at the budget's rate.
     spent: f64,
     spent_at: Duration,
@@ -151,6 +159,7 @@
     overdue: Duration,
     /// Probably no hit, and counted in `fills_out`.
     fill: bool,
+    sized: bool,
     withdrawn: bool,
 }
 
@@ -187,8 +196,6 @@
     purges: BTreeMap<(u64, Option<u64>), Duration>,
     /// By key: its mark, and when a copy of it was last returned.
     seen: Box<[(u32, Duration)]>,
-    /// Transfers that fit a link of one unit, as learnt.
-    fit: f64,
     /// Forwards out that are probably fills, how many may be, and when that was last cut.
     fills_out: f64,
     fill_limit: f64,
@@ -270,7 +277,7 @@
             most_forwards: number(told, "limits.max_attempts")
                 .map_or(MOST_FORWARDS, |n| MOST_FORWARDS.min(n as u32)),
             origin_rate: number(told, "domain.origin_rate_per_s").ok().filter(|&rate| rate > 0.0),
-            learns: text(told, "weights") == "silent",
+            weights: !matches!(text(told, "weights"), "" | "silent"),
             hub_of,
         })
     }
@@ -297,6 +304,7 @@
             cold_since: ZERO,
             out: 0.0,
             pace: 1.0,
+            share: 1.0,
             spent: 0.0,
             spent_at: ZERO,
         }
@@ -348,7 +356,6 @@
             busy: false,
             purges: BTreeMap::new(),
             seen: vec![(0, ZERO); SEEN].into(),
-            fit: 1.0,
             fills_out: 0.0,
             fill_limit: FILLS_FIRST,
             fills_cut_at: ZERO,
@@ -402,26 +409,18 @@
         cold.then(|| start.from + (1.0 - start.from) * age)
     }
 
-    /// Transfers that a host's link fits.
-    fn room(&self, host: HostIndex) -> f64 {
-        self.hosts[host].entry.units.max(0.1) * self.fit
-    }
-
-    /// Transfers on a host's link over those that fit, as far as this router can tell.
-    fn pressure(&self, host: HostIndex) -> f64 {
-        (self.hosts[host].out * self.site.zone_routers + 1.0) / self.room(host)
-    }
-
     /// Cold-start budget. A fixed part of the keys, the same at every router, goes to a cold host, and this router's
     /// part of what the host can bear is never exceeded. Also holds against a host lost and found again. It hurts
     /// where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
-        let Some(warmth) = self.warmth(host, now) else { return true };
-        let room = if self.site.learns { self.carried * self.site.zone_routers } else { self.room(host) };
+        let part = mix(key ^ self.hosts[host].entry.mark) as f64 / u64::MAX as f64;
+        let Some(warmth) = self.warmth(host, now) else { return part <= self.hosts[host].share };
+        let carried = self.carried * self.site.zone_routers;
+        let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let (site, h) = (&self.site, &mut self.hosts[host]);
         let parent = site.parent(&h.entry);
         let start = if parent { &site.parent_start } else { &site.cache_start };
-        if parent && !site.near(&h.entry) || mix(key ^ h.entry.mark) as f64 / u64::MAX as f64 > warmth {
+        if parent && !site.near(&h.entry) || part > warmth {
             return false;
         }
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
@@ -460,32 +459,20 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// The cache that the ring names, or the next that can take the GET; the least crowded where all are over the
-    /// bound. Its pressure comes with it. The bound guards against hot objects, a loss and a cold start nearby.
-    fn cache(&mut self, place: Place, now: Duration) -> Option<(HostIndex, f64)> {
+    /// The cache that the ring names, or the next that can take the GET.
+    fn cache(&mut self, place: Place, now: Duration) -> Option<HostIndex> {
         let ring = std::mem::take(&mut self.caches);
-        let (g, mut best) = (&self.gets[place], None::<(HostIndex, f64)>);
-        let (key, work) = (g.key, self.services[g.get.ds].sending);
-        for again in [false, true] {
-            for host in ring.walk(key) {
+        let (key, work) = (self.gets[place].key, self.services[self.gets[place].get.ds].sending);
+        let mut first = |again: bool| {
+            ring.walk(key).find(|&host| {
                 let g = &self.gets[place];
-                let barred = !again && g.tried[0] == Some(host);
-                let pressure = self.pressure(host);
-                let better = best.is_none_or(|(_, least)| pressure < least);
-                let open = better && !barred && self.hosts[host].usable(now) && self.may_go(g, host, now);
-                if open && self.admits(host, key, work, now) {
-                    best = Some((host, pressure));
-                }
-                if best.is_some_and(|(_, least)| least <= BOUND) {
-                    break;
-                }
-            }
-            if best.is_some() || self.site.direct {
-                break;
-            }
-        }
+                let open = (again || g.tried[0] != Some(host)) && self.hosts[host].usable(now);
+                open && self.may_go(g, host, now) && self.admits(host, key, work, now)
+            })
+        };
+        let found = first(false).or_else(|| first(true));
         self.caches = ring;
-        best
+        found
     }
 
     /// A warm cache nearby that probably holds the copy: the ring's home, or its successor where the home is cold.
@@ -497,7 +484,7 @@
         let open = self.site.siblings && !g.neighbour_lacks && g.tried[1] != Some(other);
         let good = self.hosts[other].usable(now)
             && self.warmth(other, now).is_none()
-            && self.pressure(other) <= BOUND;
+            && self.hosts[other].pace * BOUND >= 1.0;
         (open && good).then_some(other)
     }
 
@@ -627,18 +614,15 @@
             return self.give_up(place);
         }
         let chosen = if write && r.site.direct { None } else { r.cache(place, now) };
-        if let Some((_, pressure)) = chosen {
-            if pressure > BOUND && sending * pressure > objective.max(sending * BOUND) {
-                return self.give_up(place);
-            }
+        if chosen.is_some_and(|host| sending / r.hosts[host].pace > objective.max(sending * BOUND)) {
+            return self.give_up(place);
         }
-        let neighbour =
-            chosen.filter(|_| !write).and_then(|(host, _)| r.neighbour(&r.gets[place], host, now));
+        let neighbour = chosen.filter(|_| !write).and_then(|host| r.neighbour(&r.gets[place], host, now));
         let source = neighbour.or_else(|| match write {
             true => r.origin.or_else(|| r.parent(key, work, None, now)),
             false => r.parent(key, work, tried[1], now),
         });
-        let host = chosen.map(|(host, _)| host).or(source.filter(|_| r.site.direct));
+        let host = chosen.or(source.filter(|_| r.site.direct));
         let Some(host) = host.filter(|&host| r.may_go(&r.gets[place], host, now)) else {
             return self.give_up(place);
         };
@@ -667,6 +651,7 @@
             at: now,
             overdue,
             fill,
+            sized: get.size_kb > 0.0,
             withdrawn: false,
         });
         r.fills_out += f64::from(u8::from(fill));
@@ -796,10 +781,8 @@
         if hit && o.end == End::Returned {
             let pace = (sending / spent.max(1e-3)).min(1.0);
             blend(&mut h.pace, pace);
-            let there = (h.out + 1.0) * r.site.zone_routers / h.entry.units.max(0.1);
-            // Only a told size tells how fast a transfer went; a told weight is right as it is.
-            if r.site.learns && pace > CROWDED && there > r.fit {
-                blend(&mut r.fit, there);
+            if !sent.sized {
+                blend(&mut s.sending, spent);
             }
         }
         if filled && !straight {
@@ -869,6 +852,15 @@
         r.waking = false;
         let warm =
             r.caches.members().filter(|&h| r.hosts[h].usable(now) && r.warmth(h, now).is_none()).count();
+        let members = r.caches.members().count().max(1) as f64;
+        let mean = r.caches.members().map(|h| r.hosts[h].pace).sum::<f64>() / members;
+        for host in r.caches.members() {
+            let h = &mut r.hosts[host];
+            let crowded = h.pace < CROWDED && h.pace < mean * UNEVEN;
+            h.share =
+                (h.share + if crowded { -SHARE_STEP } else { SHARE_STEP / 4.0 }).clamp(SHARE_LEAST, 1.0);
+            h.pace += (1.0 - h.pace) * PACE_FADE;
+        }
         if warm > 0 {
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
