--- a/src/decide.rs
+++ b/src/decide.rs
@@ -459,20 +459,36 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// The cache that the ring names, or the next that can take the GET.
-    fn cache(&mut self, place: Place, now: Duration) -> Option<HostIndex> {
+    /// Times its sending time that a hit takes at a cache: by the pace of hits where sizes are told, else by what is
+    /// out there over what its link fits.
+    fn slowness(&self, host: HostIndex, sized: bool) -> f64 {
+        let h = &self.hosts[host];
+        if sized || !self.site.weights {
+            return 1.0 / h.pace.max(0.01);
+        }
+        ((h.out * self.site.zone_routers + 1.0) / h.entry.units.max(0.1)).max(1.0)
+    }
+
+    /// The cache that the ring names, or the next that can take the GET in time; none where no open one can. With it
+    /// comes whether any is open.
+    fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
-        let (key, work) = (self.gets[place].key, self.services[self.gets[place].get.ds].sending);
+        let g = &self.gets[place];
+        let (key, sending, sized) = (g.key, g.sending, g.get.size_kb > 0.0);
+        let (work, mut any) = (self.services[g.get.ds].sending, false);
         let mut first = |again: bool| {
             ring.walk(key).find(|&host| {
                 let g = &self.gets[place];
                 let open = (again || g.tried[0] != Some(host)) && self.hosts[host].usable(now);
-                open && self.may_go(g, host, now) && self.admits(host, key, work, now)
+                let open = open && self.may_go(g, host, now);
+                any |= open;
+                let fits = open && sending * self.slowness(host, sized) <= within;
+                fits && self.admits(host, key, work, now)
             })
         };
         let found = first(false).or_else(|| first(true));
         self.caches = ring;
-        found
+        (found, any)
     }
 
     /// A warm cache nearby that probably holds the copy: the ring's home, or its successor where the home is cold.
@@ -613,8 +629,9 @@
         if fill && r.fills_out >= r.fill_limit {
             return self.give_up(place);
         }
-        let chosen = if write && r.site.direct { None } else { r.cache(place, now) };
-        if chosen.is_some_and(|host| sending / r.hosts[host].pace > objective.max(sending * BOUND)) {
+        let within = if write { f64::INFINITY } else { objective.max(sending * BOUND) };
+        let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
+        if chosen.is_none() && any {
             return self.give_up(place);
         }
         let neighbour = chosen.filter(|_| !write).and_then(|host| r.neighbour(&r.gets[place], host, now));
