--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,15 +51,15 @@
 /// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
 const BOUND: f64 = 2.0;
 /// pace of hits under which a cache that is also slower than its neighbours by so much passes keys on: the ring rules
-/// the ordinary path, where hits go at more than half their pace.
-const CROWDED: f64 = 0.5;
+/// the ordinary path, where hits go at most of their pace.
+const CROWDED: f64 = 0.7;
 const UNEVEN: f64 = 0.8;
 /// share of its keys that a crowded cache passes on at each wake-up, a quarter of it comes back at others, and the
 /// least it keeps: some seconds to move a whole part, so that copies can follow.
 const SHARE_STEP: f64 = 0.004;
 const SHARE_LEAST: f64 = 0.2;
 /// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some seconds.
-const PACE_FADE: f64 = 0.003;
+const PACE_FADE: f64 = 0.001;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
 /// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble is over.
@@ -808,7 +808,11 @@
         } else if source_failed && !straight && o.note != Note::OriginFailed {
             r.hosts[sent.source].judge(now, false);
         }
-        let wait = if r.site.notes { o.source_wait.as_secs_f64() } else { spent - sending };
+        let wait = if r.site.notes {
+            o.source_wait.as_secs_f64()
+        } else {
+            spent - sending / r.hosts[sent.host].pace.max(0.01)
+        };
         let bad = filled && wait > s.objective * SLOW_PART || source_failed;
         let from_origin = match r.site.notes {
             true => o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin,
