--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,9 +12,10 @@
 //! 5. load bound: a cache over its bound passes a GET on along the ring; what can't be in time is shed;
 //! 6. keep rank: an object seen again outranks one seen once.
 
+use crate::footprint::{DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
 use crate::ring::{Ring, Window, mix};
-use crate::values::{flag, list, number, span, text};
+use crate::state::{Host, InHand, Learnt, Sent};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -60,6 +61,9 @@
 const SHARE_LEAST: f64 = 0.2;
 /// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some seconds.
 const PACE_FADE: f64 = 0.001;
+/// share of the latency objective taken for the sending time, and share of misses, until some are seen.
+const SENDING_FIRST: f64 = 0.25;
+const MISSES_FIRST: f64 = 0.5;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
 /// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble is over.
@@ -77,113 +81,10 @@
 /// ms; mean wait told to a client that was shed, scattered by half.
 const COME_BACK: Duration = Duration::from_millis(500);
 
-/// One of the kinds of GET, with its promise to clients.
-struct DeliveryService {
-    objective: f64,
-    stretch: f64,
-    fresh: Duration,
-    grace: Duration,
-    write: bool,
-    idempotent: bool,
-    tokened: bool,
-    token_group: String,
-    token_window: Duration,
-    /// The design's accepted age; rests at `fresh`.
-    accepted_age: Duration,
-    /// Mean sending time, s, and mean share of misses.
-    sending: f64,
-    misses: f64,
-}
-
-/// How hosts of a tier start, and how many routers share one.
-struct ColdStart {
-    from: f64,
-    long: Duration,
-    falls_at: f64,
-    routers: f64,
-}
-
-/// What is fixed about the places, machines and rules around this router.
-struct Footprint {
-    zone: usize,
-    hub_of: Vec<usize>,
-    parent_kind: usize,
-    origin_kind: usize,
-    routers: f64,
-    zone_routers: f64,
-    flow: f64,
-    joins: bool,
-    siblings: bool,
-    direct: bool,
-    notes: bool,
-    cancel: bool,
-    come_back: Option<Duration>,
-    cache_start: ColdStart,
-    parent_start: ColdStart,
-    falls_in: f64,
-    purged_within: Duration,
-    tick: Duration,
-    most_forwards: u32,
-    origin_rate: Option<f64>,
-    weights: bool,
-}
-
-#[derive(Clone)]
-struct Host {
-    entry: Entry,
-    /// Last outcomes, newest in the lowest bit, 1 a success.
-    outcomes: u32,
-    failed_at: Duration,
-    rests_until: Duration,
-    rest: Duration,
-    last_success: Duration,
-    last_answer: Duration,
-    cold_since: Duration,
-    /// Forwards out there.
-    out: f64,
-    /// Sending time over time taken, of hits, and the share of its part of the ring that the host gets.
-    pace: f64,
-    share: f64,
-    /// Work sent while cold, s, draining at the budget's rate.
-    spent: f64,
-    spent_at: Duration,
-}
-
-#[derive(Clone, Copy)]
-struct Sent {
-    hop: u32,
-    key: u64,
-    host: HostIndex,
-    source: HostIndex,
-    at: Duration,
-    overdue: Duration,
-    /// Probably no hit, and counted in `fills_out`.
-    fill: bool,
-    sized: bool,
-    withdrawn: bool,
-}
-
-struct InHand {
-    get: Get,
-    taken: Duration,
-    key: u64,
-    /// Expected sending time, s.
-    sending: f64,
-    hops: u32,
-    out: Option<Sent>,
-    tried: [Option<HostIndex>; 2],
-    may_have_run: Option<(HostIndex, Duration)>,
-    neighbour_lacks: bool,
-    answered: bool,
-    streaming: bool,
-    /// Held for another GET's fill of the same object, until then at most.
-    waiting: bool,
-    waits_until: Duration,
-}
-
 pub struct Router {
     site: Footprint,
     services: Vec<DeliveryService>,
+    learnt: Vec<Learnt>,
     chance: fastrand::Rng,
     hosts: Vec<Host>,
     gets: Slab<InHand>,
@@ -212,102 +113,9 @@
     *mean += BLEND * (new - *mean);
 }
 
-impl DeliveryService {
-    fn read(told: &Values, ds: usize) -> Result<Self, String> {
-        let per = |name: &str| span(told, &format!("domain.{name}.{ds}")).unwrap_or(ZERO);
-        let of = |name: &str| format!("classes.{ds}.{name}");
-        let (fresh, objective) = (per("lifetime_by_class_ms"), span(told, &of("aim_ms"))?.as_secs_f64());
-        Ok(Self {
-            objective,
-            stretch: number(told, &of("aim_stretch")).unwrap_or(0.0),
-            fresh,
-            grace: per("grace_for_ms"),
-            write: flag(told, &format!("domain.pass_on.{ds}")),
-            idempotent: text(told, &of("effect")) == "idempotent",
-            tokened: text(told, &of("effect")) == "deduplicated",
-            token_group: text(told, &of("group")).to_owned(),
-            token_window: span(told, &of("key_ttl_ms")).unwrap_or(ZERO),
-            accepted_age: fresh,
-            sending: objective / 4.0,
-            misses: 0.5,
-        })
-    }
-}
-
-impl Footprint {
-    fn read(told: &Values) -> Result<Self, String> {
-        let places = |name: &str| -> Vec<usize> {
-            let values = list(told, name).unwrap_or_default();
-            values.iter().map(|v| v.as_u64().unwrap_or(0) as usize).collect()
-        };
-        let (zone, hub_of) = (number(told, "my_zone")? as usize, places("domain.hub_of"));
-        let (counts, routers) = (places("domain.count_by_zone"), number(told, "balancers")?.max(1.0));
-        let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
-        let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
-        Ok(Self {
-            zone,
-            parent_kind: number(told, "domain.shield_kind")? as isize as usize,
-            origin_kind: number(told, "domain.master_kind")? as usize,
-            routers,
-            zone_routers,
-            flow: number(told, "domain.flow_kb_per_s")?.max(1.0),
-            joins: flag(told, "domain.shares_fills"),
-            siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
-            direct: flag(told, "domain.pass_through_ok"),
-            notes: text(told, "domain.note_level") == "all",
-            cancel: flag(told, "limits.cancel"),
-            come_back: span(told, "limits.max_retry_after_ms")
-                .ok()
-                .filter(|_| flag(told, "limits.retry_after")),
-            cache_start: ColdStart {
-                from: number(told, "obligations.start_capacity")?,
-                long: span(told, "obligations.warm_within_ms")?,
-                falls_at: number(told, "obligations.fall_multiple")?,
-                routers: zone_routers,
-            },
-            parent_start: ColdStart {
-                from: number(told, "domain.parent_floor").unwrap_or(0.0),
-                long: span(told, "domain.parent_cold_ms").unwrap_or(ZERO),
-                falls_at: number(told, "domain.parent_breaks_at").unwrap_or(1.0),
-                routers: near.map(|(_, &n)| n as f64).sum::<f64>().max(1.0),
-            },
-            falls_in: span(told, "obligations.fall_ms")?.as_secs_f64(),
-            purged_within: span(told, "domain.gone_everywhere_ms").unwrap_or(ZERO),
-            tick: span(told, "resolution_ms").unwrap_or(ZERO),
-            most_forwards: number(told, "limits.max_attempts")
-                .map_or(MOST_FORWARDS, |n| MOST_FORWARDS.min(n as u32)),
-            origin_rate: number(told, "domain.origin_rate_per_s").ok().filter(|&rate| rate > 0.0),
-            weights: !matches!(text(told, "weights"), "" | "silent"),
-            hub_of,
-        })
-    }
-
-    fn parent(&self, entry: &Entry) -> bool {
-        entry.kind == self.parent_kind
-    }
-
-    fn near(&self, entry: &Entry) -> bool {
-        self.hub_of.get(entry.zone) == self.hub_of.get(self.zone)
-    }
-}
-
 impl Host {
-    fn new() -> Self {
-        Self {
-            entry: Entry::default(),
-            outcomes: u32::MAX,
-            failed_at: ZERO,
-            rests_until: ZERO,
-            rest: REST,
-            last_success: ZERO,
-            last_answer: ZERO,
-            cold_since: ZERO,
-            out: 0.0,
-            pace: 1.0,
-            share: 1.0,
-            spent: 0.0,
-            spent_at: ZERO,
-        }
+    fn pace(&self) -> f64 {
+        (1.0 - self.lag).max(0.01)
     }
 
     fn on(&self) -> bool {
@@ -315,7 +123,7 @@
     }
 
     fn failed(&self) -> bool {
-        (self.outcomes & ((1 << FEW) - 1)).count_ones() < ENOUGH
+        (self.failures & ((1 << FEW) - 1)).count_ones() > FEW - ENOUGH
     }
 
     /// Open to GETs; a failed host, after its rest, to one trial at a time.
@@ -327,25 +135,32 @@
     /// too; one trial at a time brings it back.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
-        self.outcomes = self.outcomes << 1 | u32::from(success);
+        self.failures = self.failures << 1 | u32::from(!success);
         if success {
             if failed && now.saturating_sub(self.last_success) > LOST {
                 self.cold_since = now;
             }
-            (self.last_success, self.rest) = (now, REST);
+            (self.last_success, self.trials) = (now, 0);
         } else if self.failed() && (!failed || now >= self.rests_until) {
-            self.rest = if failed { (self.rest * 2).min(REST * 4) } else { REST };
-            (self.failed_at, self.rests_until) = (now, now + self.rest);
+            (self.failed_at, self.rests_until) = (now, now + REST * (1 << self.trials));
+            self.trials = (self.trials + 1).min(2);
         }
     }
 }
 
 impl Router {
     pub fn new(told: &Values, seed: u64) -> Result<Self, String> {
-        let services = list(told, "classes")?.len();
+        let (site, services) = (Footprint::read(told)?, DeliveryService::read_all(told)?);
+        let learnt = |ds: &DeliveryService| Learnt {
+            accepted_age: ds.fresh,
+            sending: ds.objective * SENDING_FIRST,
+            misses: MISSES_FIRST,
+        };
         Ok(Self {
-            site: Footprint::read(told)?,
-            services: (0..services).map(|ds| DeliveryService::read(told, ds)).collect::<Result<_, _>>()?,
+            learnt: services.iter().map(learnt).collect(),
+            follow_at: if site.ask_list { ZERO } else { Duration::MAX },
+            site,
+            services,
             chance: fastrand::Rng::with_seed(seed),
             hosts: Vec::new(),
             gets: Slab::with_capacity(1024),
@@ -362,7 +177,6 @@
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
-            follow_at: if text(told, "discovery") == "on_request" { ZERO } else { Duration::MAX },
         })
     }
 
@@ -390,19 +204,27 @@
     }
 
     /// Lays a ring of the hosts that are on, points by weight.
-    fn ring(&mut self, holds: impl Fn(&Footprint, &Entry) -> bool) -> Ring {
-        let (mut ring, site, hosts) = (Ring::default(), &self.site, &self.hosts);
-        let members = || (0..hosts.len()).filter(|&h| hosts[h].on() && holds(site, &hosts[h].entry));
+    fn ring(&self, holds: impl Fn(&Self, &Entry) -> bool) -> Ring {
+        let (mut ring, hosts) = (Ring::default(), &self.hosts);
+        let members = || (0..hosts.len()).filter(|&h| hosts[h].on() && holds(self, &hosts[h].entry));
         let mean = members().map(|h| hosts[h].entry.units).sum::<f64>() / members().count() as f64;
         let points = |e: &Entry| (RING_POINTS * e.units / mean.max(1e-9)).round().max(1.0) as u64;
         ring.lay(members().map(|h| (h, hosts[h].entry.mark, points(&hosts[h].entry))));
         ring
     }
 
+    fn parental(&self, entry: &Entry) -> bool {
+        Some(entry.kind) == self.site.parent_kind
+    }
+
+    fn near(&self, entry: &Entry) -> bool {
+        self.site.hub_of.get(entry.zone) == self.site.hub_of.get(self.site.zone)
+    }
+
     /// Share of its full work that a host which started lately may get; none of a warm one.
     fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
         let Host { entry, cold_since, .. } = &self.hosts[host];
-        let start = if self.site.parent(entry) { &self.site.parent_start } else { &self.site.cache_start };
+        let start = if self.parental(entry) { &self.site.parent_start } else { &self.site.cache_start };
         let since = entry.started.max(*cold_since);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
@@ -414,15 +236,16 @@
     /// where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let part = mix(key ^ self.hosts[host].entry.mark) as f64 / u64::MAX as f64;
-        let Some(warmth) = self.warmth(host, now) else { return part <= self.hosts[host].share };
+        let Some(warmth) = self.warmth(host, now) else { return part <= 1.0 - self.hosts[host].passes_on };
         let carried = self.carried * self.site.zone_routers;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
-        let (site, h) = (&self.site, &mut self.hosts[host]);
-        let parent = site.parent(&h.entry);
-        let start = if parent { &site.parent_start } else { &site.cache_start };
-        if parent && !site.near(&h.entry) || part > warmth {
+        let entry = &self.hosts[host].entry;
+        let parental = self.parental(entry);
+        if parental && !self.near(entry) || part > warmth {
             return false;
         }
+        let (site, h) = (&self.site, &mut self.hosts[host]);
+        let start = if parental { &site.parent_start } else { &site.cache_start };
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
         h.spent = (h.spent - now.saturating_sub(h.spent_at).as_secs_f64() * rate).max(0.0);
         h.spent_at = now;
@@ -436,14 +259,18 @@
         let ds = &self.services[g.get.ds];
         let Some((ran_at, since)) = g.may_have_run else { return true };
         let (a, b) = (&self.hosts[ran_at].entry, &self.hosts[host].entry);
-        let same = match ds.token_group.as_str() {
-            "all" => true,
-            "zone" => a.zone == b.zone,
-            _ => a.cell == b.cell,
+        let same = match ds.group {
+            TokenGroup::All => true,
+            TokenGroup::Zone => a.zone == b.zone,
+            TokenGroup::Cell => a.cell == b.cell,
         };
         ds.idempotent || ds.tokened && same && now + self.site.tick < since + ds.token_window
     }
 
+    fn most_forwards(&self) -> u32 {
+        self.site.most_forwards.map_or(MOST_FORWARDS, |most| most.min(MOST_FORWARDS))
+    }
+
     fn purged_at(&self, get: &Get) -> Option<Duration> {
         [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max().copied()
     }
@@ -451,10 +278,8 @@
     /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a purge,
     /// for zero means any age.
     fn oldest(&self, get: &Get, now: Duration) -> Duration {
-        let accepted = self.services[get.ds].accepted_age;
-        let purged =
-            [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max();
-        let Some(&at) = purged else { return accepted };
+        let accepted = self.learnt[get.ds].accepted_age;
+        let Some(at) = self.purged_at(get) else { return accepted };
         let limit = now.saturating_sub(at + self.site.tick).max(Duration::from_micros(10));
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
@@ -464,7 +289,7 @@
     fn slowness(&self, host: HostIndex, sized: bool) -> f64 {
         let h = &self.hosts[host];
         if sized || !self.site.weights {
-            return 1.0 / h.pace.max(0.01);
+            return 1.0 / h.pace();
         }
         ((h.out * self.site.zone_routers + 1.0) / h.entry.units.max(0.1)).max(1.0)
     }
@@ -475,7 +300,7 @@
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
         let (key, sending, sized) = (g.key, g.sending, g.get.size_kb > 0.0);
-        let (work, mut any) = (self.services[g.get.ds].sending, false);
+        let (work, mut any) = (self.learnt[g.get.ds].sending, false);
         let mut first = |again: bool| {
             ring.walk(key).find(|&host| {
                 let g = &self.gets[place];
@@ -500,7 +325,7 @@
         let open = self.site.siblings && !g.neighbour_lacks && g.tried[1] != Some(other);
         let good = self.hosts[other].usable(now)
             && self.warmth(other, now).is_none()
-            && self.hosts[other].pace * BOUND >= 1.0;
+            && self.hosts[other].pace() * BOUND >= 1.0;
         (open && good).then_some(other)
     }
 
@@ -510,7 +335,7 @@
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
                 let h = &self.hosts[host];
-                let open = self.site.near(&h.entry) == near && Some(host) != tried && h.usable(now);
+                let open = self.near(&h.entry) == near && Some(host) != tried && h.usable(now);
                 open && self.admits(host, key, work, now)
             })
         };
@@ -578,30 +403,23 @@
 
     pub fn take(&mut self, get: Get) {
         let r = &mut *self.r;
-        let Some(ds) = r.services.get_mut(get.ds) else {
+        let (Some(ds), Some(learnt)) = (r.services.get(get.ds), r.learnt.get_mut(get.ds)) else {
             self.out.error(r.gets.vacant_key());
             return self.out.settled(r.gets.vacant_key());
         };
         if get.size_kb > 0.0 {
-            blend(&mut ds.sending, get.size_kb / r.site.flow);
+            blend(&mut learnt.sending, get.size_kb / r.site.flow);
         }
-        let sending = if get.size_kb > 0.0 { get.size_kb / r.site.flow } else { ds.sending };
+        let sending = if get.size_kb > 0.0 { get.size_kb / r.site.flow } else { learnt.sending };
         let spare = ds.objective + (ds.stretch - 1.0) * sending - PATIENCE;
+        let half = (get.viewer_timeout / 2).saturating_sub(SWEEP);
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
             key: mix(get.object ^ mix(u64::from(get.part) + 1)),
             sending,
-            hops: 0,
-            out: None,
-            tried: [None; 2],
-            may_have_run: None,
-            neighbour_lacks: false,
-            answered: false,
-            streaming: false,
-            waiting: false,
-            waits_until: self.now
-                + Duration::from_secs_f64(spare.max(0.0)).min((get.viewer_timeout / 2).saturating_sub(SWEEP)),
+            waits_until: self.now + Duration::from_secs_f64(spare.max(0.0)).min(half),
+            ..InHand::default()
         });
         self.decide(place);
     }
@@ -613,9 +431,9 @@
         let (get, key, sending, tried, hops) = (g.get, g.key, g.sending, g.tried, g.hops);
         let left = (g.taken + get.viewer_timeout).saturating_sub(now);
         let ds = &r.services[get.ds];
-        let (write, work) = (ds.write, ds.sending * ds.misses);
+        let (write, work) = (ds.write, r.learnt[get.ds].sending * r.learnt[get.ds].misses);
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        if hops >= r.site.most_forwards
+        if hops >= r.most_forwards()
             || left <= r.site.tick * 2
             || get.size_kb > 0.0 && left.as_secs_f64() < sending
         {
@@ -655,22 +473,13 @@
             held_only: neighbour.is_some(),
             renew: !r.busy && !write,
         };
-        let slow = sending / r.hosts[host].pace.clamp(0.2, 1.0);
+        let slow = sending / r.hosts[host].pace().max(0.2);
         let patience = (objective - sending * 1.1).max(slow + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
         g.waiting = false;
-        g.out = Some(Sent {
-            hop: hops,
-            key,
-            host,
-            source: forward.source,
-            at: now,
-            overdue,
-            fill,
-            sized: get.size_kb > 0.0,
-            withdrawn: false,
-        });
+        let source = forward.source;
+        g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, withdrawn: false });
         r.fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
@@ -684,7 +493,7 @@
         let g = &mut r.gets[place];
         g.answered = true;
         let ds = &r.services[g.get.ds];
-        if ds.idempotent || g.may_have_run.is_none() || ds.tokened && ds.token_group == "all" {
+        if ds.idempotent || g.may_have_run.is_none() || ds.tokened && ds.group == TokenGroup::All {
             let wait = COME_BACK.mul_f64(0.5 + r.chance.f64());
             self.out.shed(place, r.site.come_back.map(|most| wait.min(most)));
         } else {
@@ -731,9 +540,10 @@
         g.answered |= o.closed;
         g.neighbour_lacks |= o.note == Note::SourceLacks || o.end == End::Miss;
         g.tried = [Some(sent.host).filter(|_| o.end != End::Miss), Some(sent.source)];
-        let (answered, ds, sending, run) = (g.answered, g.get.ds, g.sending, g.may_have_run.is_some());
-        self.learn(&sent, o, ds, sending);
-        let ds = &self.r.services[ds];
+        let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
+        let sending = g.sending;
+        self.learn(&sent, o, &get, key, sending);
+        let ds = &self.r.services[get.ds];
         if answered {
             self.free(place);
         } else if ds.idempotent || ds.tokened || !run {
@@ -741,7 +551,7 @@
         } else {
             self.give_up(place);
         }
-        self.release(|g| g.key == sent.key);
+        self.release(|g| g.key == key);
     }
 
     /// Decides anew on GETs that waited for a fill.
@@ -755,7 +565,7 @@
     }
 
     /// What an outcome tells of the host, the source and the origin.
-    fn learn(&mut self, sent: &Sent, o: &Outcome, ds: usize, sending: f64) {
+    fn learn(&mut self, sent: &Sent, o: &Outcome, get: &Get, key: u64, sending: f64) {
         let (now, r, straight) = (self.now, &mut *self.r, sent.host == sent.source);
         let source_failed = matches!(o.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
             || !r.site.notes && matches!(o.end, End::Errored | End::Full);
@@ -772,11 +582,11 @@
             End::TimedOut if !sent.withdrawn && h.last_answer < sent.at => h.judge(now, false),
             _ => {}
         }
-        let s = &mut r.services[ds];
-        if s.write {
+        let (ds, spent) = (&r.services[get.ds], o.spent.as_secs_f64());
+        if ds.write {
             return;
         }
-        let in_time = o.spent.as_secs_f64() <= s.objective + s.stretch * sending;
+        let in_time = spent <= ds.objective + ds.stretch * sending;
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         if sent.fill {
             r.fills_out -= 1.0;
@@ -784,22 +594,18 @@
         if filled && o.end == End::Returned || sent.fill && !matches!(o.end, End::Returned | End::Miss) {
             r.bound_fills(in_time && filled, now);
         }
-        let (s, h) = (&mut r.services[ds], &mut r.hosts[sent.host]);
-        let spent = o.spent.as_secs_f64();
+        let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if o.end == End::Returned {
-            r.sent_work += if cold { 0.0 } else { s.sending };
-            blend(&mut s.misses, f64::from(u8::from(!hit)));
-        }
-        let seen = &mut r.seen[sent.key as usize % SEEN];
-        if o.end == End::Returned && seen.0 == key_mark(sent.key) {
-            seen.1 = now;
+            r.sent_work += if cold { 0.0 } else { learnt.sending };
+            blend(&mut learnt.misses, f64::from(u8::from(!hit)));
+            let seen = &mut r.seen[key as usize % SEEN];
+            seen.1 = if seen.0 == key_mark(key) { now } else { seen.1 };
         }
         if hit && o.end == End::Returned {
-            let pace = (sending / spent.max(1e-3)).min(1.0);
-            blend(&mut h.pace, pace);
-            if !sent.sized {
-                blend(&mut s.sending, spent);
+            blend(&mut h.lag, 1.0 - (sending / spent.max(1e-3)).min(1.0));
+            if get.size_kb == 0.0 {
+                blend(&mut learnt.sending, spent);
             }
         }
         if filled && !straight {
@@ -811,20 +617,18 @@
         let wait = if r.site.notes {
             o.source_wait.as_secs_f64()
         } else {
-            spent - sending / r.hosts[sent.host].pace.max(0.01)
-        };
-        let bad = filled && wait > s.objective * SLOW_PART || source_failed;
-        let from_origin = match r.site.notes {
-            true => o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin,
-            false => filled,
+            spent - sending / r.hosts[sent.host].pace()
         };
+        let bad = filled && wait > ds.objective * SLOW_PART || source_failed;
+        let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin;
+        let from_origin = if r.site.notes { by_origin } else { filled };
         if from_origin || bad {
             r.fills.count(bad);
         }
         r.busy = r.counts_busy();
         if !hit && r.busy {
-            let s = &mut r.services[ds];
-            s.accepted_age = (s.accepted_age * 2).min(s.fresh + s.grace);
+            let (ds, learnt) = (&r.services[get.ds], &mut r.learnt[get.ds]);
+            learnt.accepted_age = (learnt.accepted_age * 2).min(ds.fresh + ds.grace);
         }
     }
 
@@ -839,17 +643,19 @@
         }
         for entry in entries {
             if r.hosts.len() <= entry.host {
-                r.hosts.resize(entry.host + 1, Host::new());
+                r.hosts.resize(entry.host + 1, Host::default());
             }
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                *h = Host { out: h.out, spent: h.spent, spent_at: h.spent_at, ..Host::new() };
+                *h = Host { out: h.out, spent: h.spent, spent_at: h.spent_at, ..Host::default() };
             }
             h.entry = *entry;
         }
-        r.caches = r.ring(|site, e| e.zone == site.zone && !site.parent(e) && e.kind != site.origin_kind);
-        r.parents = r.ring(|site, e| site.parent(e));
+        let own =
+            |r: &Router, e: &Entry| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind;
+        r.caches = r.ring(own);
+        r.parents = r.ring(Router::parental);
         r.origin = r.hosts.iter().position(|h| h.on() && h.entry.kind == r.site.origin_kind);
     }
 
@@ -871,23 +677,23 @@
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
-        let warm =
-            r.caches.members().filter(|&h| r.hosts[h].usable(now) && r.warmth(h, now).is_none()).count();
-        let members = r.caches.members().count().max(1) as f64;
-        let mean = r.caches.members().map(|h| r.hosts[h].pace).sum::<f64>() / members;
+        let warm = |h: &HostIndex| r.hosts[*h].usable(now) && r.warmth(*h, now).is_none();
+        let (warm, members) = (r.caches.members().filter(warm).count(), r.caches.members().count().max(1));
+        let mean = r.caches.members().map(|h| r.hosts[h].pace()).sum::<f64>() / members as f64;
         for host in r.caches.members() {
             let h = &mut r.hosts[host];
-            let crowded = h.pace < CROWDED && h.pace < mean * UNEVEN;
-            h.share =
-                (h.share + if crowded { -SHARE_STEP } else { SHARE_STEP / 4.0 }).clamp(SHARE_LEAST, 1.0);
-            h.pace += (1.0 - h.pace) * PACE_FADE;
+            let crowded = h.pace() < CROWDED && h.pace() < mean * UNEVEN;
+            let step = if crowded { SHARE_STEP } else { -SHARE_STEP / 4.0 };
+            h.passes_on = (h.passes_on + step).clamp(0.0, 1.0 - SHARE_LEAST);
+            h.lag *= 1.0 - PACE_FADE;
         }
         if warm > 0 {
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         }
+        let most = r.most_forwards();
         for (place, g) in r.gets.iter_mut() {
-            let settled = g.answered || g.streaming || g.hops >= r.site.most_forwards;
+            let settled = g.answered || g.streaming || g.hops >= most;
             let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
             let h = &mut r.hosts[sent.host];
             let overdue = now >= sent.overdue || sent.at < h.failed_at;
@@ -908,7 +714,7 @@
         let (now, r) = (self.now, &mut *self.r);
         r.busy = r.counts_busy();
         if !r.busy {
-            r.services.iter_mut().for_each(|s| s.accepted_age = s.fresh);
+            r.learnt.iter_mut().zip(&r.services).for_each(|(learnt, ds)| learnt.accepted_age = ds.fresh);
         }
         let kept = r.site.purged_within + r.site.tick;
         r.purges.retain(|_, at| now < *at + kept);
--- /dev/null
+++ b/src/footprint.rs
@@ -0,0 +1,138 @@
+//! What is read once at the start: the places, machines and rules around a router, and its delivery services.
+
+use crate::values::{Values, flag, list, number, span, text};
+use std::time::Duration;
+
+/// One of the kinds of GET, with its promise to clients.
+pub struct DeliveryService {
+    /// Latency objective, s, and what each second of a GET's own sending time adds to it.
+    pub objective: f64,
+    pub stretch: f64,
+    pub fresh: Duration,
+    pub grace: Duration,
+    pub write: bool,
+    pub idempotent: bool,
+    pub tokened: bool,
+    pub group: TokenGroup,
+    pub token_window: Duration,
+}
+
+/// Where repeats of a tokened GET are dropped.
+#[derive(PartialEq)]
+pub enum TokenGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+/// How the hosts of a tier start, and how many routers share one.
+pub struct ColdStart {
+    pub from: f64,
+    pub long: Duration,
+    pub falls_at: f64,
+    pub routers: f64,
+}
+
+pub struct Footprint {
+    pub zone: usize,
+    pub hub_of: Vec<usize>,
+    pub parent_kind: Option<usize>,
+    pub origin_kind: usize,
+    pub routers: f64,
+    pub zone_routers: f64,
+    /// Kilobytes a second of one transfer to a client.
+    pub flow: f64,
+    pub joins: bool,
+    pub siblings: bool,
+    pub direct: bool,
+    pub notes: bool,
+    pub weights: bool,
+    pub cancel: bool,
+    /// The list of hosts must be asked for.
+    pub ask_list: bool,
+    /// The longest wait that a client heeds, where it hears of one.
+    pub come_back: Option<Duration>,
+    pub cache_start: ColdStart,
+    pub parent_start: ColdStart,
+    /// Seconds of too much work after which a cold host falls over.
+    pub falls_in: f64,
+    pub purged_within: Duration,
+    pub tick: Duration,
+    pub most_forwards: Option<u32>,
+    /// Origin fills a second that all routers together may ask for, where told.
+    pub origin_rate: Option<f64>,
+}
+
+impl DeliveryService {
+    pub fn read_all(told: &Values) -> Result<Vec<Self>, String> {
+        (0..list(told, "classes")?.len()).map(|ds| Self::read(told, ds)).collect()
+    }
+
+    fn read(told: &Values, ds: usize) -> Result<Self, String> {
+        let per = |name: &str| span(told, &format!("domain.{name}.{ds}")).unwrap_or_default();
+        let of = |name: &str| format!("classes.{ds}.{name}");
+        Ok(Self {
+            objective: span(told, &of("aim_ms"))?.as_secs_f64(),
+            stretch: number(told, &of("aim_stretch")).unwrap_or(0.0),
+            fresh: per("lifetime_by_class_ms"),
+            grace: per("grace_for_ms"),
+            write: flag(told, &format!("domain.pass_on.{ds}")),
+            idempotent: text(told, &of("effect")) == "idempotent",
+            tokened: text(told, &of("effect")) == "deduplicated",
+            group: match text(told, &of("group")) {
+                "all" => TokenGroup::All,
+                "zone" => TokenGroup::Zone,
+                _ => TokenGroup::Cell,
+            },
+            token_window: span(told, &of("key_ttl_ms")).unwrap_or_default(),
+        })
+    }
+}
+
+impl Footprint {
+    pub fn read(told: &Values) -> Result<Self, String> {
+        let places = |name: &str| -> Vec<usize> {
+            let values = list(told, name).unwrap_or_default();
+            values.iter().map(|v| v.as_u64().unwrap_or(0) as usize).collect()
+        };
+        let (zone, hub_of) = (number(told, "my_zone")? as usize, places("domain.hub_of"));
+        let (counts, routers) = (places("domain.count_by_zone"), number(told, "balancers")?.max(1.0));
+        let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
+        let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
+        let heard = flag(told, "limits.retry_after");
+        Ok(Self {
+            zone,
+            parent_kind: Some(number(told, "domain.shield_kind")?).filter(|&k| k >= 0.0).map(|k| k as usize),
+            origin_kind: number(told, "domain.master_kind")? as usize,
+            routers,
+            zone_routers,
+            flow: number(told, "domain.flow_kb_per_s")?.max(1.0),
+            joins: flag(told, "domain.shares_fills"),
+            siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
+            direct: flag(told, "domain.pass_through_ok"),
+            notes: text(told, "domain.note_level") == "all",
+            weights: !matches!(text(told, "weights"), "" | "silent"),
+            cancel: flag(told, "limits.cancel"),
+            ask_list: text(told, "discovery") == "on_request",
+            come_back: span(told, "limits.max_retry_after_ms").ok().filter(|_| heard),
+            cache_start: ColdStart {
+                from: number(told, "obligations.start_capacity")?,
+                long: span(told, "obligations.warm_within_ms")?,
+                falls_at: number(told, "obligations.fall_multiple")?,
+                routers: zone_routers,
+            },
+            parent_start: ColdStart {
+                from: number(told, "domain.parent_floor").unwrap_or(0.0),
+                long: span(told, "domain.parent_cold_ms").unwrap_or_default(),
+                falls_at: number(told, "domain.parent_breaks_at").unwrap_or(1.0),
+                routers: near.map(|(_, &n)| n as f64).sum::<f64>().max(1.0),
+            },
+            falls_in: span(told, "obligations.fall_ms")?.as_secs_f64(),
+            purged_within: span(told, "domain.gone_everywhere_ms").unwrap_or_default(),
+            tick: span(told, "resolution_ms").unwrap_or_default(),
+            most_forwards: number(told, "limits.max_attempts").ok().map(|n| n as u32),
+            origin_rate: number(told, "domain.origin_rate_per_s").ok().filter(|&rate| rate > 0.0),
+            hub_of,
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! The decisions of a traffic router for a two-tier cache. No I/O happens here.
 
 pub mod decide;
+mod footprint;
 pub mod interface;
 mod ring;
+mod state;
 mod values;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,71 @@
+//! What a router remembers of hosts and of GETs in hand: plain records.
+
+use crate::interface::{Entry, Get, HostIndex};
+use std::time::Duration;
+
+/// A cache host, a parent or the origin. All zero: warm, healthy, not crowded, not listed.
+#[derive(Clone, Default)]
+pub struct Host {
+    pub entry: Entry,
+    /// Last outcomes, newest in the lowest bit, 1 a failure.
+    pub failures: u32,
+    pub failed_at: Duration,
+    pub rests_until: Duration,
+    /// Trials that failed since it last succeeded.
+    pub trials: u32,
+    pub last_success: Duration,
+    pub last_answer: Duration,
+    pub cold_since: Duration,
+    /// Forwards out there.
+    pub out: f64,
+    /// Share of the full pace that hits there lack.
+    pub lag: f64,
+    /// Share of its part of the ring that goes on along the ring.
+    pub passes_on: f64,
+    /// Work sent while cold, s, draining at the budget's rate.
+    pub spent: f64,
+    pub spent_at: Duration,
+}
+
+/// One forward that is out.
+#[derive(Clone, Copy)]
+pub struct Sent {
+    pub hop: u32,
+    pub host: HostIndex,
+    pub source: HostIndex,
+    pub at: Duration,
+    pub overdue: Duration,
+    /// Probably no hit, and counted as a fill.
+    pub fill: bool,
+    pub withdrawn: bool,
+}
+
+#[derive(Default)]
+pub struct InHand {
+    pub get: Get,
+    pub taken: Duration,
+    pub key: u64,
+    /// Expected sending time, s.
+    pub sending: f64,
+    pub hops: u32,
+    pub out: Option<Sent>,
+    /// Host and source that failed it last.
+    pub tried: [Option<HostIndex>; 2],
+    /// The first forward that may have run, and when it was sent.
+    pub may_have_run: Option<(HostIndex, Duration)>,
+    pub neighbour_lacks: bool,
+    pub answered: bool,
+    pub streaming: bool,
+    /// Held for another GET's fill of the same object, until then at most.
+    pub waiting: bool,
+    pub waits_until: Duration,
+}
+
+/// What a router has learnt of a delivery service.
+pub struct Learnt {
+    /// The design's accepted age; rests at the fresh time.
+    pub accepted_age: Duration,
+    /// Mean sending time, s, and mean share of misses.
+    pub sending: f64,
+    pub misses: f64,
+}
