--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 //! lets fresh hits be renewed. Beside it stand six mechanisms:
 //! 1. health: a host is judged by the successes among its last few outcomes, silence included;
 //! 2. cold-start budget: a host that started lately gets a growing share of its part of the ring, within a budget;
-//! 3. fill source: a copy that probably lies at a neighbour is taken from there before a parent is asked;
+//! 3. fill source: the ring's parent, or the next that is well, near ones first; a fill that is out is waited for;
 //! 4. time-outs and further forwards: an overdue forward is withdrawn and sent elsewhere while it can still help;
 //! 5. load bound: a cache over its bound passes a GET on along the ring; what can't be in time is shed;
 //! 6. keep rank: an object seen again outranks one seen once.
@@ -316,19 +316,6 @@
         (found, any)
     }
 
-    /// A warm cache nearby that probably holds the copy: the ring's home, or its successor where the home is cold.
-    fn neighbour(&self, g: &InHand, host: HostIndex, now: Duration) -> Option<HostIndex> {
-        let mut order = self.caches.walk(g.key);
-        let home = order.next()?;
-        let other =
-            if home != host { home } else { order.next().filter(|_| self.warmth(host, now).is_some())? };
-        let open = self.site.siblings && !g.neighbour_lacks && g.tried[1] != Some(other);
-        let good = self.hosts[other].usable(now)
-            && self.warmth(other, now).is_none()
-            && self.hosts[other].pace() * BOUND >= 1.0;
-        (open && good).then_some(other)
-    }
-
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
     fn parent(&mut self, key: u64, work: f64, tried: Option<HostIndex>, now: Duration) -> Option<HostIndex> {
         let ring = std::mem::take(&mut self.parents);
@@ -452,11 +439,10 @@
         if chosen.is_none() && any {
             return self.give_up(place);
         }
-        let neighbour = chosen.filter(|_| !write).and_then(|host| r.neighbour(&r.gets[place], host, now));
-        let source = neighbour.or_else(|| match write {
+        let source = match write {
             true => r.origin.or_else(|| r.parent(key, work, None, now)),
             false => r.parent(key, work, tried[1], now),
-        });
+        };
         let host = chosen.or(source.filter(|_| r.site.direct));
         let Some(host) = host.filter(|&host| r.may_go(&r.gets[place], host, now)) else {
             return self.give_up(place);
@@ -470,7 +456,6 @@
             keep: if write { 0 } else { r.rank(key) },
             accepted_age: if write { ZERO } else { r.oldest(&get, now) },
             join: r.site.joins && !write,
-            held_only: neighbour.is_some(),
             renew: !r.busy && !write,
         };
         let slow = sending / r.hosts[host].pace().max(0.2);
@@ -538,8 +523,7 @@
             g.may_have_run = Some((sent.host, sent.at));
         }
         g.answered |= o.closed;
-        g.neighbour_lacks |= o.note == Note::SourceLacks || o.end == End::Miss;
-        g.tried = [Some(sent.host).filter(|_| o.end != End::Miss), Some(sent.source)];
+        g.tried = [Some(sent.host), Some(sent.source)];
         let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
         let sending = g.sending;
         self.learn(&sent, o, &get, key, sending);
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -43,7 +43,6 @@
     /// Kilobytes a second of one transfer to a client.
     pub flow: f64,
     pub joins: bool,
-    pub siblings: bool,
     pub direct: bool,
     pub notes: bool,
     pub weights: bool,
@@ -108,7 +107,6 @@
             zone_routers,
             flow: number(told, "domain.flow_kb_per_s")?.max(1.0),
             joins: flag(told, "domain.shares_fills"),
-            siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
             direct: flag(told, "domain.pass_through_ok"),
             notes: text(told, "domain.note_level") == "all",
             weights: !matches!(text(told, "weights"), "" | "silent"),
