Fills are bounded per source; over the ring parent's bound they go to an origin that is well

Cause: one crowded parent made fills late, and one bound for all sources cut the fills from the others. Kept: origin with a small bound to earn, not while notes tell it is busy.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -97,10 +97,6 @@
     purges: BTreeMap<(u64, Option<u64>), Duration>,
     /// By key: its mark, and when a copy of it was last returned.
     seen: Box<[(u32, Duration)]>,
-    /// Forwards out that are probably fills, how many may be, and when that was last cut.
-    fills_out: f64,
-    fill_limit: f64,
-    fills_cut_at: Duration,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -126,6 +122,18 @@
         (self.failures & ((1 << FEW) - 1)).count_ones() > FEW - ENOUGH
     }
 
+    /// Bounds the fills that are out together from one source by whether they come in time: guards the location's link,
+    /// parents and the origin alike, whatever slows them. It hurts where a slow cache spoils a good source's count.
+    fn bound_fills(&mut self, in_time: bool, now: Duration) {
+        if in_time {
+            let used = self.fills_out >= self.fill_limit * FILLS_USED;
+            self.fill_limit += if used { 1.0 } else { 0.0 };
+        } else if now >= self.fills_cut_at + FILLS_CUT_EVERY {
+            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(FILLS_LEAST);
+            self.fills_cut_at = now;
+        }
+    }
+
     /// Open to GETs; a failed host, after its rest, to one trial at a time.
     fn usable(&self, now: Duration) -> bool {
         self.on() && (!self.failed() || now >= self.rests_until && self.out == 0.0)
@@ -171,9 +179,6 @@
             busy: false,
             purges: BTreeMap::new(),
             seen: vec![(0, ZERO); SEEN].into(),
-            fills_out: 0.0,
-            fill_limit: FILLS_FIRST,
-            fills_cut_at: ZERO,
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -317,18 +322,29 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
-    fn parent(&mut self, key: u64, work: f64, tried: Option<HostIndex>, now: Duration) -> Option<HostIndex> {
+    fn source(
+        &mut self,
+        key: u64,
+        work: f64,
+        fill: bool,
+        tried: Option<HostIndex>,
+        now: Duration,
+    ) -> Option<HostIndex> {
         let ring = std::mem::take(&mut self.parents);
+        let room = |h: &Host| !fill || h.fills_out < h.fill_limit;
+        let mut full = false;
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
                 let h = &self.hosts[host];
                 let open = self.near(&h.entry) == near && Some(host) != tried && h.usable(now);
-                open && self.admits(host, key, work, now)
+                full |= open && !room(h);
+                open && !full && self.admits(host, key, work, now)
             })
         };
         let found = fit(true).or_else(|| fit(false));
         self.parents = ring;
-        found.or(self.origin)
+        let spared = full && self.busy && self.site.notes;
+        found.or(self.origin.filter(|&origin| !spared && room(&self.hosts[origin])))
     }
 
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
@@ -353,18 +369,6 @@
         let fills = |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn);
         !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
     }
-
-    /// Bounds the fills that are out together by whether fills come in time: guards the location's link, the parents
-    /// and the origin alike, whatever slows them. It hurts where one bad source spoils the count of the others.
-    fn bound_fills(&mut self, in_time: bool, now: Duration) {
-        if in_time {
-            let used = self.fills_out >= self.fill_limit * FILLS_USED;
-            self.fill_limit += if used { 1.0 } else { 0.0 };
-        } else if now >= self.fills_cut_at + FILLS_CUT_EVERY {
-            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(FILLS_LEAST);
-            self.fills_cut_at = now;
-        }
-    }
 }
 
 fn key_mark(key: u64) -> u32 {
@@ -431,18 +435,18 @@
             r.gets[place].waiting = true;
             return;
         }
-        if fill && r.fills_out >= r.fill_limit {
-            return self.give_up(place);
-        }
         let within = if write { f64::INFINITY } else { objective.max(sending * BOUND) };
         let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
         if chosen.is_none() && any {
             return self.give_up(place);
         }
         let source = match write {
-            true => r.origin.or_else(|| r.parent(key, work, None, now)),
-            false => r.parent(key, work, tried[1], now),
+            true => r.origin.or_else(|| r.source(key, work, false, None, now)),
+            false => r.source(key, work, fill, tried[1], now),
         };
+        if fill && source.is_none() {
+            return self.give_up(place);
+        }
         let host = chosen.or(source.filter(|_| r.site.direct));
         let Some(host) = host.filter(|&host| r.may_go(&r.gets[place], host, now)) else {
             return self.give_up(place);
@@ -465,7 +469,7 @@
         g.waiting = false;
         let source = forward.source;
         g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, withdrawn: false });
-        r.fills_out += f64::from(u8::from(fill));
+        r.hosts[source].fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
@@ -572,11 +576,10 @@
         }
         let in_time = spent <= ds.objective + ds.stretch * sending;
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
-        if sent.fill {
-            r.fills_out -= 1.0;
-        }
+        let from = &mut r.hosts[sent.source];
+        from.fills_out -= f64::from(u8::from(sent.fill));
         if filled && o.end == End::Returned || sent.fill && !matches!(o.end, End::Returned | End::Miss) {
-            r.bound_fills(in_time && filled, now);
+            from.bound_fills(in_time && filled, now);
         }
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
@@ -627,14 +630,20 @@
         }
         for entry in entries {
             if r.hosts.len() <= entry.host {
-                r.hosts.resize(entry.host + 1, Host::default());
+                r.hosts.resize(entry.host + 1, Host { fill_limit: FILLS_FIRST, ..Host::default() });
             }
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                *h = Host { out: h.out, spent: h.spent, spent_at: h.spent_at, ..Host::default() };
+                let kept = h.clone();
+                *h = Host { fill_limit: FILLS_FIRST, ..Host::default() };
+                (h.out, h.fills_out, h.spent, h.spent_at) =
+                    (kept.out, kept.fills_out, kept.spent, kept.spent_at);
             }
             h.entry = *entry;
+            if h.entry.kind == r.site.origin_kind && h.fills_cut_at == ZERO {
+                (h.fill_limit, h.fills_cut_at) = (FILLS_FIRST / 8.0, self.now);
+            }
         }
         let own =
             |r: &Router, e: &Entry| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind;
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,10 @@
     pub lag: f64,
     /// Share of its part of the ring that goes on along the ring.
     pub passes_on: f64,
+    /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
+    pub fills_out: f64,
+    pub fill_limit: f64,
+    pub fills_cut_at: Duration,
     /// Work sent while cold, s, draining at the budget's rate.
     pub spent: f64,
     pub spent_at: Duration,
