--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,15 +1,16 @@
-//! All decisions of a router. `Router::new` reads the settings once; then `Router::round(now, &mut out, |round| …)`
-//! is called once for all that came in, and the closure makes one plain call per message on `Round`. Decisions go
-//! straight into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`. Times are since the start.
+//! All decisions of a router. `Router::new` reads the settings once; then `Router::round(now, &mut out,
+//! |round| …)` is called once for all that came in, and the closure makes one plain call per message on
+//! `Round`. Decisions go straight into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`.
+//! Times are since the start.
 //!
-//! The design: a consistent-hash ring names cache and parent; a windowed count of origin fills sets `busy`; busy
-//! doubles the accepted age of a delivery service at each miss, up to its upper bound; idle rejects stale copies and
-//! lets fresh hits be renewed. Beside it stand six mechanisms:
+//! The design: a consistent-hash ring names cache and parent; a windowed count of origin fills sets `busy`;
+//! busy doubles the accepted age of a delivery service at each miss, up to its upper bound; idle rejects
+//! stale copies and lets fresh hits be renewed. Beside it stand six mechanisms:
 //! 1. health: a host is judged by the successes among its last few outcomes, silence included;
-//! 2. cold-start budget: a host that started lately gets a growing share of its part of the ring, within a budget;
-//! 3. fill source: the ring's parent, or the next that is well, near ones first; a fill that is out is waited for;
-//! 4. time-outs and further forwards: an overdue forward is withdrawn and sent elsewhere while it can still help;
-//! 5. load bound: a cache over its bound passes a GET on along the ring; what can't be in time is shed;
+//! 2. cold-start budget: a host that started lately gets a growing share of its part, within a budget;
+//! 3. fill source: the ring's parent, or the next that is well; a fill that is out is waited for;
+//! 4. time-outs and further forwards: what is overdue at a silent host is withdrawn and sent elsewhere;
+//! 5. load bound: a crowded cache passes keys on, late fills bound their source, what would be late is shed;
 //! 6. keep rank: an object seen again outranks one seen once.
 
 use crate::footprint::{DeliveryService, Footprint, TokenGroup};
@@ -27,13 +28,14 @@
 const SLOTS: usize = 10;
 /// fills; fewer slow or failed ones in a window are chance.
 const BUSY_LEAST: u32 = 3;
-/// slow or failed fills are this part (one in so many) of a window's fills when the origin, not chance, is slow.
+/// slow or failed fills are this part (one in so many) of a window's fills when the origin, not chance, is
+/// slow.
 const BUSY_PART: u32 = 4;
 /// share of the latency objective that a source may take to its first byte before the fill counts as slow.
 const SLOW_PART: f64 = 0.5;
 /// points on the ring for a host of mean size; evens parts out to a tenth, stays in the processor's cache.
 const RING_POINTS: f64 = 96.0;
-/// outcomes by which a host is judged, and successes needed among them: few, so that a dead one is found in time;
+/// outcomes by which a host is judged, and successes needed among them: few, to find a dead one in time;
 /// half, so that single chance failures do not count.
 const FEW: u32 = 4;
 const ENOUGH: u32 = 2;
@@ -51,22 +53,24 @@
 const BUDGET_PART: f64 = 0.5;
 /// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
 const BOUND: f64 = 2.0;
-/// pace of hits under which a cache that is also slower than its neighbours by so much passes keys on: the ring rules
-/// the ordinary path, where hits go at most of their pace.
+/// pace of hits under which a cache that is also slower than its neighbours by so much passes keys on: the
+/// ring rules the ordinary path, where hits go at most of their pace.
 const CROWDED: f64 = 0.7;
 const UNEVEN: f64 = 0.8;
-/// share of its keys that a crowded cache passes on at each wake-up, a quarter of it comes back at others, and the
+/// share of its keys that a crowded cache passes on at each wake-up (a quarter comes back at others) and the
 /// least it keeps: some seconds to move a whole part, so that copies can follow.
 const SHARE_STEP: f64 = 0.004;
 const SHARE_LEAST: f64 = 0.2;
-/// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some seconds.
+/// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some
+/// seconds.
 const PACE_FADE: f64 = 0.001;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
 const SENDING_FIRST: f64 = 0.25;
 const MISSES_FIRST: f64 = 0.5;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble is over.
+/// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble
+/// is over.
 const FILLS_FIRST: f64 = 32.0;
 const FILLS_LEAST: f64 = 2.0;
 /// share of the bound that is in use when a fill in time raises it by one.
@@ -122,8 +126,9 @@
         (self.failures & ((1 << FEW) - 1)).count_ones() > FEW - ENOUGH
     }
 
-    /// Bounds the fills that are out together from one source by whether they come in time: guards the location's link,
-    /// parents and the origin alike, whatever slows them. It hurts where a slow cache spoils a good source's count.
+    /// Bounds the fills out together from one source by whether they come in time: guards the location's
+    /// link, parents and the origin, whatever slows them. It hurts where a slow cache spoils a good source's
+    /// count.
     fn bound_fills(&mut self, in_time: bool, now: Duration) {
         if in_time {
             let used = self.fills_out >= self.fill_limit * FILLS_USED;
@@ -139,8 +144,8 @@
         self.on() && (!self.failed() || now >= self.rests_until && self.out == 0.0)
     }
 
-    /// Guards against dead, silent, refusing and unreachable hosts alike. A host that is only crowded may be rested
-    /// too; one trial at a time brings it back.
+    /// Guards against dead, silent, refusing and unreachable hosts alike. A host that is only crowded may be
+    /// rested too; one trial at a time brings it back.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
         self.failures = self.failures << 1 | u32::from(!success);
@@ -199,7 +204,8 @@
         told
     }
 
-    /// The design's flag: over this router's share of a told rate, or, with none, by slow and failed fills alone.
+    /// The design's flag: over this router's share of a told rate, or, with none, by slow and failed fills
+    /// alone.
     fn counts_busy(&self) -> bool {
         let (all, bad) = self.fills.sums();
         match self.site.origin_rate {
@@ -233,12 +239,12 @@
         let since = entry.started.max(*cold_since);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
-        cold.then(|| start.from + (1.0 - start.from) * age)
+        cold.then_some(start.from + (1.0 - start.from) * age)
     }
 
-    /// Cold-start budget. A fixed part of the keys, the same at every router, goes to a cold host, and this router's
-    /// part of what the host can bear is never exceeded. Also holds against a host lost and found again. It hurts
-    /// where the neighbours are overloaded while the cold host could do more.
+    /// Cold-start budget. A fixed part of the keys, the same at every router, goes to a cold host, and this
+    /// router's part of what the host can bear is never exceeded. Also holds against a host lost and found
+    /// again. It hurts where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let part = mix(key ^ self.hosts[host].entry.mark) as f64 / u64::MAX as f64;
         let Some(warmth) = self.warmth(host, now) else { return part <= 1.0 - self.hosts[host].passes_on };
@@ -280,8 +286,8 @@
         [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max().copied()
     }
 
-    /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a purge,
-    /// for zero means any age.
+    /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a
+    /// purge, for zero means any age.
     fn oldest(&self, get: &Get, now: Duration) -> Duration {
         let accepted = self.learnt[get.ds].accepted_age;
         let Some(at) = self.purged_at(get) else { return accepted };
@@ -289,8 +295,8 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// Times its sending time that a hit takes at a cache: by the pace of hits where sizes are told, else by what is
-    /// out there over what its link fits.
+    /// Times its sending time that a hit takes at a cache: by the pace of hits where sizes are told, else by
+    /// what is out there over what its link fits.
     fn slowness(&self, host: HostIndex, sized: bool) -> f64 {
         let h = &self.hosts[host];
         if sized || !self.site.weights {
@@ -299,8 +305,8 @@
         ((h.out * self.site.zone_routers + 1.0) / h.entry.units.max(0.1)).max(1.0)
     }
 
-    /// The cache that the ring names, or the next that can take the GET in time; none where no open one can. With it
-    /// comes whether any is open.
+    /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
+    /// With it comes whether any is open.
     fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
@@ -322,14 +328,8 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
-    fn source(
-        &mut self,
-        key: u64,
-        work: f64,
-        fill: bool,
-        tried: Option<HostIndex>,
-        now: Duration,
-    ) -> Option<HostIndex> {
+    fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<HostIndex> {
+        let (key, tried) = (self.gets[place].key, self.gets[place].tried[1]);
         let ring = std::mem::take(&mut self.parents);
         let room = |h: &Host| !fill || h.fills_out < h.fill_limit;
         let mut full = false;
@@ -363,8 +363,9 @@
         mark == key_mark(g.key) && at > self.purged_at(&g.get).unwrap_or(ZERO) && now < at + HELD
     }
 
-    /// A first fill of the same object is out and GETs can't join it: waiting for it spares the links and the origin
-    /// the same bytes again. Holds against any rush for what no cache has: a purge, a new hot object, a cold cache.
+    /// A first fill of the same object is out and GETs can't join it: waiting for it spares the links and the
+    /// origin the same bytes again. Holds against any rush for what no cache has: a purge, a new hot object,
+    /// a cold cache.
     fn waits(&self, g: &InHand, now: Duration) -> bool {
         let fills = |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn);
         !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
@@ -440,10 +441,8 @@
         if chosen.is_none() && any {
             return self.give_up(place);
         }
-        let source = match write {
-            true => r.origin.or_else(|| r.source(key, work, false, None, now)),
-            false => r.source(key, work, fill, tried[1], now),
-        };
+        let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
+        let source = origin.or_else(|| r.source(place, work, fill, now));
         if fill && source.is_none() {
             return self.give_up(place);
         }
@@ -475,8 +474,8 @@
         self.out.forward(place, &forward);
     }
 
-    /// The final answer of a GET that the router gives up on, at once. Idempotent ones and those proven not run are
-    /// shed, with a time to come back where the client hears it.
+    /// The final answer of a GET that the router gives up on, at once. Idempotent ones and those proven not
+    /// run are shed, with a time to come back where the client hears it.
     fn give_up(&mut self, place: Place) {
         let r = &mut *self.r;
         let g = &mut r.gets[place];
@@ -491,8 +490,8 @@
         self.free(place);
     }
 
-    /// Calls off what is out for an answered GET. Its place is reused only when nothing is out, so that no late
-    /// outcome can meet another GET.
+    /// Calls off what is out for an answered GET. Its place is reused only when nothing is out, so that no
+    /// late outcome can meet another GET.
     fn free(&mut self, place: Place) {
         let g = &mut self.r.gets[place];
         if let Some(sent) = g.out.as_mut().filter(|s| !s.withdrawn && self.r.site.cancel) {
@@ -664,9 +663,9 @@
         }
     }
 
-    /// The wake-up. Withdraws overdue forwards from hosts that answer nobody: guards against hosts that neither answer
-    /// nor fail, whatever silenced them. A slow host that still answers keeps its forwards, for a fill may run on after
-    /// its client has left and would be paid for twice.
+    /// The wake-up. Withdraws overdue forwards from hosts that answer nobody, whatever silenced them. A slow
+    /// host that still answers keeps its forwards: a fill may run on after its client has left and be paid
+    /// for twice.
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,243 @@
+//! Decisions as short traces, kept under `tests/snapshots` and read by people.
+
+mod common;
+
+use common::{CACHES, Day, ORIGIN, PARENTS, entry, ms, settings};
+use insta::assert_snapshot;
+use myrtlegauge::interface::*;
+use serde_json::json;
+
+#[test]
+fn ordinary_path_ring_ranks_and_renewal() {
+    let mut day = Day::new(settings());
+    for object in [1, 2, 3, 1] {
+        let get = day.take(1, object);
+        day.end(get, 0, End::Returned, Note::Hit, 110);
+    }
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn busy_doubles_the_accepted_age_and_idle_takes_it_back() {
+    let mut day = Day::new(settings());
+    for object in 1..=6 {
+        let get = day.take(1, object);
+        day.now += ms(300);
+        day.end(get, 0, End::Returned, Note::FilledFromOrigin, 390);
+    }
+    day.trace.say("the window passes without fills");
+    day.after(6000);
+    day.take(1, 9);
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_told_origin_rate_sets_the_flag_by_count() {
+    let mut told = settings();
+    told["domain"]["origin_rate_per_s"] = json!(1.2);
+    let mut day = Day::new(told);
+    for object in 1..=5 {
+        let get = day.take(1, object);
+        day.end(get, 0, End::Returned, Note::FilledFromOrigin, 120);
+    }
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn no_copy_older_than_a_purge_of_the_object_or_its_group() {
+    let mut day = Day::new(settings());
+    day.round(|round| round.purged(0, Some(1), ms(0)));
+    day.trace.say("just purged: a tiny limit, for zero would mean any age");
+    day.take(0, 1);
+    day.take(0, 2);
+    day.after(1000);
+    day.take(0, 1);
+    day.round(|round| round.purged(0, None, ms(80)));
+    day.trace.say("the whole group, told 80 ms late");
+    day.take(1, 2);
+    day.after(7000);
+    day.trace.say("all have dropped it");
+    day.take(0, 1);
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn nothing_goes_to_draining_or_gone_hosts_nor_from_them() {
+    let mut day = Day::new(settings());
+    let draining = Entry { standing: Standing::Draining, ..entry(0) };
+    day.list(ListKind::Changes, &[draining, Entry { standing: Standing::Gone, ..entry(PARENTS[0]) }]);
+    for object in 0..12 {
+        day.take(0, object);
+    }
+    assert!(!day.trace.sent.contains(&0) && !day.trace.lines.contains("parent 3"));
+    day.trace = Default::default();
+    day.trace.say("a whole list without cache 1 and without parents");
+    day.list(ListKind::Whole, &[entry(0), entry(2), entry(ORIGIN)]);
+    for object in 100..104 {
+        let get = day.take(0, object);
+        day.end(get, 0, End::Returned, Note::Filled, 110);
+    }
+    assert!(!day.trace.sent.contains(&1));
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_write_goes_on_or_is_shed_only_if_proven_not_run() {
+    let mut day = Day::new(settings());
+    let ends = [End::Full, End::NoConnection, End::NeverSent, End::Miss];
+    for end in ends.into_iter().chain([End::Errored, End::TimedOut, End::Reset, End::Withdrawn]) {
+        day.trace.say(&format!("{end:?}"));
+        let get = day.take(2, 1);
+        day.end(get, 0, end, Note::Untold, 20);
+        day.end(get, 1, End::Full, Note::Untold, 20);
+        day.end(get, 2, End::Full, Note::Untold, 20);
+    }
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_tokened_get_that_may_have_run_stays_in_its_group_and_window() {
+    let mut day = Day::new(settings());
+    let get = day.take(3, 1);
+    day.end(get, 0, End::Reset, Note::Untold, 20);
+    day.trace.say("its own location has no other cache left: parents are outside the group");
+    let gone = CACHES.map(|host| Entry { standing: Standing::Gone, ..entry(host) });
+    day.list(ListKind::Changes, &gone);
+    day.end(get, 1, End::Reset, Note::Untold, 20);
+    assert_snapshot!(day.trace.lines);
+}
+
+/// Work that 200 different objects ask of a host within the time in which a cold one falls over, s of sending.
+fn work_to(started: [HostIndex; 2], host: HostIndex) -> (f64, f64) {
+    let mut day = Day::new(settings());
+    let fresh = started.map(|host| Entry { started: day.now, ..entry(host) });
+    day.list(ListKind::Changes, &fresh);
+    let (mut sent, mut filled) = (0.0, 0.0);
+    for object in 0..200 {
+        day.now += ms(5);
+        let get = day.take(0, object);
+        let forward = day.trace.last.unwrap();
+        sent += if forward.host == host { 0.1 } else { 0.0 };
+        filled += if forward.source == host { 0.1 } else { 0.0 };
+        day.end(get, 0, End::Returned, Note::Filled, 110);
+    }
+    (sent, filled)
+}
+
+#[test]
+fn a_cold_cache_and_a_cold_parent_are_not_pushed_over() {
+    let bears = |units: f64, from: f64| 2.0 * from * units;
+    let (cache, parent) = (work_to([0, 3], 0).0, work_to([0, 3], 3).1);
+    assert!(cache > 0.0 && cache * 2.0 <= bears(4.0, 0.25), "two routers send a cold cache {cache} s each");
+    assert!(
+        parent > 0.0 && parent * 2.0 <= bears(30.0, 0.12),
+        "two routers ask {parent} s each of a cold parent"
+    );
+}
+
+#[test]
+fn a_silent_cache_is_left_and_tried_again_later() {
+    let mut day = Day::new(settings());
+    let silent = {
+        day.take(0, 1);
+        day.trace.last.unwrap().host
+    };
+    let mut object = 2;
+    while day.trace.sent.iter().filter(|&&host| host == silent).count() < 4 {
+        let get = day.take(0, object);
+        if day.trace.last.unwrap().host != silent {
+            day.end(get, 0, End::Returned, Note::Hit, 110);
+        }
+        object += 1;
+    }
+    day.trace = Default::default();
+    day.after(3);
+    day.trace.say("all that is out there is overdue: withdrawn, one after the other");
+    day.after(700);
+    (0..8).for_each(|place| day.end(place, 0, End::Withdrawn, Note::Untold, 700));
+    assert!(!day.trace.sent.contains(&silent));
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_rush_for_one_object_waits_for_its_first_fill() {
+    let mut day = Day::new(settings());
+    let first = day.take(0, 1);
+    day.take(0, 1);
+    day.take(0, 1);
+    day.trace.say("the first is filled");
+    day.now += ms(200);
+    day.end(first, 0, End::Returned, Note::Filled, 200);
+    day.trace.say("another object: its fill takes too long to wait for");
+    day.take(0, 2);
+    day.take(0, 2);
+    day.after(700);
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn late_fills_lower_the_bound_and_what_is_over_it_is_shed() {
+    let mut day = Day::new(settings());
+    for object in 0..40 {
+        let get = day.take(0, object);
+        day.now += ms(300);
+        day.end(get, 0, End::Returned, Note::FilledFromOrigin, 2000);
+    }
+    day.trace = Default::default();
+    day.trace.say("every source's fills came late for long");
+    for object in 100..108 {
+        day.take(0, object);
+    }
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn nothing_is_said_of_a_get_after_its_final_answer() {
+    let mut day = Day::new(settings());
+    let get = day.take(0, 1);
+    let o = Outcome {
+        hop: 0,
+        end: End::Errored,
+        spent: ms(5),
+        closed: false,
+        note: Note::Untold,
+        source_wait: ms(0),
+        load: Load::default(),
+    };
+    day.trace.say("abandoned and an outcome in one round, then a late outcome for the place");
+    day.round(|round| {
+        round.abandoned(get);
+        round.outcome(get, &o);
+        round.abandoned(get)
+    });
+    let again = day.take(0, 2);
+    day.end(again, 7, End::Returned, Note::Hit, 5);
+    day.trace.say("time-out at the viewer timeout");
+    day.now += ms(5000);
+    day.end(again, 0, End::TimedOut, Note::Untold, 5000);
+    day.end(again, 0, End::Returned, Note::Hit, 5000);
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_crowded_cache_passes_keys_on_and_gets_them_back() {
+    let mut day = Day::new(settings());
+    let crowded = 0;
+    let part = |day: &mut Day, spent: u64, rounds: u64| {
+        day.trace = Default::default();
+        for object in 0..rounds {
+            day.after(25);
+            let get = day.take(0, object % 300);
+            let slow = day.trace.last.unwrap().host == crowded;
+            day.end(get, 0, End::Returned, Note::Hit, if slow { spent } else { 105 });
+        }
+        let all = day.trace.sent.len();
+        100 * day.trace.sent.iter().filter(|&&host| host == crowded).count() / all
+    };
+    let (even, after) = (part(&mut day, 105, 300), part(&mut day, 300, 600));
+    let (moved, back) = (part(&mut day, 300, 300), part(&mut day, 105, 3000));
+    let late = part(&mut day, 105, 300);
+    assert_snapshot!(format!(
+        "share of cache 0, percent: even {even}, slow {after}, {moved}, well again {back}, {late}"
+    ));
+}
