--- a/src/decide.rs
+++ b/src/decide.rs
@@ -295,14 +295,12 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// Times its sending time that a hit takes at a cache: by the pace of hits where sizes are told, else by
-    /// what is out there over what its link fits.
-    fn slowness(&self, host: HostIndex, sized: bool) -> f64 {
+    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, by its weight
+    /// or, where weights are untold, as learnt while it was crowded.
+    fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
-        if sized || !self.site.weights {
-            return 1.0 / h.pace();
-        }
-        ((h.out * self.site.zone_routers + 1.0) / h.entry.units.max(0.1)).max(1.0)
+        let room = if self.site.weights { h.entry.units.max(0.1) } else { h.room };
+        if room > 0.0 { ((h.out * self.site.zone_routers + 1.0) / room).max(1.0) } else { 1.0 }
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
@@ -310,7 +308,7 @@
     fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
-        let (key, sending, sized) = (g.key, g.sending, g.get.size_kb > 0.0);
+        let (key, sending) = (g.key, g.sending);
         let (work, mut any) = (self.learnt[g.get.ds].sending, false);
         let mut first = |again: bool| {
             ring.walk(key).find(|&host| {
@@ -318,7 +316,7 @@
                 let open = (again || g.tried[0] != Some(host)) && self.hosts[host].usable(now);
                 let open = open && self.may_go(g, host, now);
                 any |= open;
-                let fits = open && sending * self.slowness(host, sized) <= within;
+                let fits = open && sending * self.slowness(host) <= within;
                 fits && self.admits(host, key, work, now)
             })
         };
@@ -589,7 +587,12 @@
             seen.1 = if seen.0 == key_mark(key) { now } else { seen.1 };
         }
         if hit && o.end == End::Returned {
-            blend(&mut h.lag, 1.0 - (sending / spent.max(1e-3)).min(1.0));
+            let pace = (sending / spent.max(1e-3)).min(1.0);
+            blend(&mut h.lag, 1.0 - pace);
+            if pace < CROWDED {
+                let there = ((h.out + 1.0) * r.site.zone_routers * pace).max(1.0);
+                h.room = if h.room > 0.0 { h.room + BLEND * (there - h.room) } else { there };
+            }
             if get.size_kb == 0.0 {
                 blend(&mut learnt.sending, spent);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     pub out: f64,
     /// Share of the full pace that hits there lack.
     pub lag: f64,
+    /// Transfers that its link fits, as learnt; 0: not yet.
+    pub room: f64,
     /// Share of its part of the ring that goes on along the ring.
     pub passes_on: f64,
     /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
