--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,7 @@
 
 use crate::footprint::{DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
-use crate::ring::{Ring, Window, mix};
+use crate::ring::{Memory, Ring, Window, mix};
 use crate::state::{Host, InHand, Learnt, Sent};
 use slab::Slab;
 use std::collections::BTreeMap;
@@ -73,6 +73,8 @@
 /// is over.
 const FILLS_FIRST: f64 = 32.0;
 const FILLS_LEAST: f64 = 2.0;
+/// share of that with which the origin itself begins: what parents can't take must be earned there.
+const ORIGIN_FIRST: f64 = 0.125;
 /// share of the bound that is in use when a fill in time raises it by one.
 const FILLS_USED: f64 = 0.5;
 /// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
@@ -99,8 +101,10 @@
     busy: bool,
     /// By group and object (none: the whole group), when it was purged.
     purges: BTreeMap<(u64, Option<u64>), Duration>,
-    /// By key: its mark, and when a copy of it was last returned.
-    seen: Box<[(u32, Duration)]>,
+    /// By key, when a copy of it was last returned; zero: only asked for.
+    seen: Memory<Duration>,
+    /// By object, where sizes are untold, the sending time of a part as learnt, s.
+    sizes: Memory<f64>,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -183,7 +187,8 @@
             fills: Window::new(WINDOW),
             busy: false,
             purges: BTreeMap::new(),
-            seen: vec![(0, ZERO); SEEN].into(),
+            seen: Memory::new(SEEN),
+            sizes: Memory::new(SEEN),
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -295,8 +300,8 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, by its weight
-    /// or, where weights are untold, as learnt while it was crowded.
+    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, by its
+    /// weight or, where weights are untold, as learnt while it was crowded.
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
         let room = if self.site.weights { h.entry.units.max(0.1) } else { h.room };
@@ -347,18 +352,17 @@
 
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
     fn rank(&mut self, key: u64) -> u8 {
-        let (mark, seen) = (key_mark(key), &mut self.seen[key as usize % SEEN]);
-        if seen.0 == mark {
-            return 2;
+        if self.seen.get(key).is_none() {
+            self.seen.set(key, ZERO);
+            return 1;
         }
-        *seen = (mark, ZERO);
-        1
+        2
     }
 
     /// A copy was returned lately and not purged since, so that a cache probably holds it still.
     fn held(&self, g: &InHand, now: Duration) -> bool {
-        let (mark, at) = self.seen[g.key as usize % SEEN];
-        mark == key_mark(g.key) && at > self.purged_at(&g.get).unwrap_or(ZERO) && now < at + HELD
+        let since = self.purged_at(&g.get).unwrap_or(ZERO).max(now.saturating_sub(HELD));
+        self.seen.get(g.key).is_some_and(|at| at > since)
     }
 
     /// A first fill of the same object is out and GETs can't join it: waiting for it spares the links and the
@@ -370,10 +374,6 @@
     }
 }
 
-fn key_mark(key: u64) -> u32 {
-    (key >> 32) as u32 | 1
-}
-
 pub struct Round<'a, D: Dispatch> {
     r: &'a mut Router,
     out: &'a mut D,
@@ -397,16 +397,15 @@
             self.out.error(r.gets.vacant_key());
             return self.out.settled(r.gets.vacant_key());
         };
-        if get.size_kb > 0.0 {
-            blend(&mut learnt.sending, get.size_kb / r.site.flow);
-        }
-        let sending = if get.size_kb > 0.0 { get.size_kb / r.site.flow } else { learnt.sending };
+        let (object, told) = (mix(get.object), (get.size_kb > 0.0).then_some(get.size_kb / r.site.flow));
+        let sending = told.or_else(|| r.sizes.get(object)).unwrap_or(learnt.sending);
+        told.iter().for_each(|&told| blend(&mut learnt.sending, told));
         let spare = ds.objective + (ds.stretch - 1.0) * sending - PATIENCE;
         let half = (get.viewer_timeout / 2).saturating_sub(SWEEP);
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
-            key: mix(get.object ^ mix(u64::from(get.part) + 1)),
+            key: mix(object ^ mix(u64::from(get.part) + 1)),
             sending,
             waits_until: self.now + Duration::from_secs_f64(spare.max(0.0)).min(half),
             ..InHand::default()
@@ -459,13 +458,13 @@
             join: r.site.joins && !write,
             renew: !r.busy && !write,
         };
-        let slow = sending / r.hosts[host].pace().max(0.2);
-        let patience = (objective - sending * 1.1).max(slow + PATIENCE);
+        let slowness = r.slowness(host);
+        let patience = (objective - sending * 1.1).max(sending * slowness + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
         g.waiting = false;
         let source = forward.source;
-        g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, withdrawn: false });
+        g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, slowness, withdrawn: false });
         r.hosts[source].fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
@@ -554,7 +553,7 @@
         let (now, r, straight) = (self.now, &mut *self.r, sent.host == sent.source);
         let source_failed = matches!(o.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
             || !r.site.notes && matches!(o.end, End::Errored | End::Full);
-        let cold = r.warmth(sent.host, now).is_some();
+        let (cold, slowness) = (r.warmth(sent.host, now).is_some(), r.slowness(sent.host));
         let h = &mut r.hosts[sent.host];
         h.out = (h.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
@@ -583,8 +582,14 @@
         if o.end == End::Returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
             blend(&mut learnt.misses, f64::from(u8::from(!hit)));
-            let seen = &mut r.seen[key as usize % SEEN];
-            seen.1 = if seen.0 == key_mark(key) { now } else { seen.1 };
+            r.seen.set(key, now);
+        }
+        if get.size_kb == 0.0 && o.end == End::Returned {
+            // Parts of an object are alike: what one took, less the wait and the crowd, tells of the others.
+            let seen = (spent - o.source_wait.as_secs_f64()).max(1e-3) * 2.0 / (sent.slowness + slowness);
+            let known = r.sizes.get(mix(get.object)).filter(|&known| known < seen);
+            r.sizes.set(mix(get.object), known.map_or(seen, |known| known + BLEND * (seen - known)));
+            blend(&mut learnt.sending, seen);
         }
         if hit && o.end == End::Returned {
             let pace = (sending / spent.max(1e-3)).min(1.0);
@@ -593,9 +598,6 @@
                 let there = ((h.out + 1.0) * r.site.zone_routers * pace).max(1.0);
                 h.room = if h.room > 0.0 { h.room + BLEND * (there - h.room) } else { there };
             }
-            if get.size_kb == 0.0 {
-                blend(&mut learnt.sending, spent);
-            }
         }
         if filled && !straight {
             r.hosts[sent.source].judge(now, true);
@@ -632,19 +634,18 @@
         }
         for entry in entries {
             if r.hosts.len() <= entry.host {
-                r.hosts.resize(entry.host + 1, Host { fill_limit: FILLS_FIRST, ..Host::default() });
+                r.hosts.resize(entry.host + 1, Host::default());
             }
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                let kept = h.clone();
-                *h = Host { fill_limit: FILLS_FIRST, ..Host::default() };
-                (h.out, h.fills_out, h.spent, h.spent_at) =
-                    (kept.out, kept.fills_out, kept.spent, kept.spent_at);
+                (h.failures, h.trials, h.lag, h.passes_on, h.room) = (0, 0, 0.0, 0.0, 0.0);
+                (h.cold_since, h.fill_limit) = (ZERO, 0.0);
             }
             h.entry = *entry;
-            if h.entry.kind == r.site.origin_kind && h.fills_cut_at == ZERO {
-                (h.fill_limit, h.fills_cut_at) = (FILLS_FIRST / 8.0, self.now);
+            if h.fill_limit == 0.0 {
+                let share = if entry.kind == r.site.origin_kind { ORIGIN_FIRST } else { 1.0 };
+                h.fill_limit = FILLS_FIRST * share;
             }
         }
         let own =
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,4 +1,4 @@
-//! The consistent-hash ring and the window of counts, as plain structures: what goes in is decided elsewhere.
+//! The ring, the window of counts and the memory of keys, as plain structures: what goes in is decided elsewhere.
 
 use crate::interface::HostIndex;
 use std::time::Duration;
@@ -78,3 +78,28 @@
         self.slots.iter().fold((0, 0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
     }
 }
+
+/// What was last noted by key, in a table of fixed size: a newer key takes an older one's place.
+pub struct Memory<T> {
+    slots: Box<[(u32, T)]>,
+}
+
+impl<T: Copy + Default> Memory<T> {
+    pub fn new(size: usize) -> Self {
+        Self { slots: vec![(0, T::default()); size].into() }
+    }
+
+    fn mark(key: u64) -> u32 {
+        (key >> 32) as u32 | 1
+    }
+
+    pub fn get(&self, key: u64) -> Option<T> {
+        let (mark, noted) = self.slots[key as usize % self.slots.len()];
+        (mark == Self::mark(key)).then_some(noted)
+    }
+
+    pub fn set(&mut self, key: u64, noted: T) {
+        let size = self.slots.len();
+        self.slots[key as usize % size] = (Self::mark(key), noted);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     pub overdue: Duration,
     /// Probably no hit, and counted as a fill.
     pub fill: bool,
+    /// How slow the host was then.
+    pub slowness: f64,
     pub withdrawn: bool,
 }
 
