No share of keys passed on; new caches take copies from the cache that held their part

Cause: since what is out tells of lateness, the slow share only moved keys from caches that had room; the location's link is full while replaced caches are empty.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 //! 2. cold-start budget: a host that started lately gets a growing share of its part, within a budget;
 //! 3. fill source: the ring's parent, or the next that is well; a fill that is out is waited for;
 //! 4. time-outs and further forwards: what is overdue at a silent host is withdrawn and sent elsewhere;
-//! 5. load bound: a crowded cache passes keys on, late fills bound their source, what would be late is shed;
+//! 5. load bound: what would be late goes on along the ring or is shed; late fills bound their source;
 //! 6. keep rank: an object seen again outranks one seen once.
 
 use crate::footprint::{DeliveryService, Footprint, TokenGroup};
@@ -53,17 +53,8 @@
 const BUDGET_PART: f64 = 0.5;
 /// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
 const BOUND: f64 = 2.0;
-/// pace of hits under which a cache that is also slower than its neighbours by so much passes keys on: the
-/// ring rules the ordinary path, where hits go at most of their pace.
+/// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
 const CROWDED: f64 = 0.7;
-const UNEVEN: f64 = 0.8;
-/// share of its keys that a crowded cache passes on at each wake-up (a quarter comes back at others) and the
-/// least it keeps: some seconds to move a whole part, so that copies can follow.
-const SHARE_STEP: f64 = 0.004;
-const SHARE_LEAST: f64 = 0.2;
-/// share of the way back to full pace at each wake-up: what is not seen any more is forgotten in some
-/// seconds.
-const PACE_FADE: f64 = 0.001;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
 const SENDING_FIRST: f64 = 0.25;
 const MISSES_FIRST: f64 = 0.5;
@@ -118,10 +109,6 @@
 }
 
 impl Host {
-    fn pace(&self) -> f64 {
-        (1.0 - self.lag).max(0.01)
-    }
-
     fn on(&self) -> bool {
         self.entry.standing == Standing::On
     }
@@ -251,12 +238,12 @@
     /// router's part of what the host can bear is never exceeded. Also holds against a host lost and found
     /// again. It hurts where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
-        let part = mix(key ^ self.hosts[host].entry.mark) as f64 / u64::MAX as f64;
-        let Some(warmth) = self.warmth(host, now) else { return part <= 1.0 - self.hosts[host].passes_on };
+        let Some(warmth) = self.warmth(host, now) else { return true };
         let carried = self.carried * self.site.zone_routers;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
         let parental = self.parental(entry);
+        let part = mix(key ^ entry.mark) as f64 / u64::MAX as f64;
         if parental && !self.near(entry) || part > warmth {
             return false;
         }
@@ -330,6 +317,15 @@
         (found, any)
     }
 
+    /// The cache that held a new cache's part before, so probably the copy: it spares the location's link
+    /// when many caches are empty, whatever emptied them.
+    fn neighbour(&self, g: &InHand, host: HostIndex, now: Duration) -> Option<HostIndex> {
+        let mut order = self.caches.walk(g.key);
+        let new = order.next() == Some(host) && self.warmth(host, now).is_some();
+        let other = order.next().filter(|_| new && self.site.siblings && !g.neighbour_lacks)?;
+        (self.hosts[other].usable(now) && self.warmth(other, now).is_none()).then_some(other)
+    }
+
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
     fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<HostIndex> {
         let (key, tried) = (self.gets[place].key, self.gets[place].tried[1]);
@@ -439,7 +435,8 @@
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let source = origin.or_else(|| r.source(place, work, fill, now));
+        let near = chosen.filter(|_| fill).and_then(|host| r.neighbour(&r.gets[place], host, now));
+        let source = near.or(origin).or_else(|| r.source(place, work, fill, now));
         if fill && source.is_none() {
             return self.give_up(place);
         }
@@ -456,6 +453,7 @@
             keep: if write { 0 } else { r.rank(key) },
             accepted_age: if write { ZERO } else { r.oldest(&get, now) },
             join: r.site.joins && !write,
+            held_only: near.is_some(),
             renew: !r.busy && !write,
         };
         let slowness = r.slowness(host);
@@ -523,7 +521,8 @@
             g.may_have_run = Some((sent.host, sent.at));
         }
         g.answered |= o.closed;
-        g.tried = [Some(sent.host), Some(sent.source)];
+        g.neighbour_lacks |= o.end == End::Miss;
+        g.tried = [Some(sent.host).filter(|_| o.end != End::Miss), Some(sent.source)];
         let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
         let sending = g.sending;
         self.learn(&sent, o, &get, key, sending);
@@ -593,7 +592,6 @@
         }
         if hit && o.end == End::Returned {
             let pace = (sending / spent.max(1e-3)).min(1.0);
-            blend(&mut h.lag, 1.0 - pace);
             if pace < CROWDED {
                 let there = ((h.out + 1.0) * r.site.zone_routers * pace).max(1.0);
                 h.room = if h.room > 0.0 { h.room + BLEND * (there - h.room) } else { there };
@@ -608,7 +606,7 @@
         let wait = if r.site.notes {
             o.source_wait.as_secs_f64()
         } else {
-            spent - sending / r.hosts[sent.host].pace()
+            spent - sending * (sent.slowness + slowness) / 2.0
         };
         let bad = filled && wait > ds.objective * SLOW_PART || source_failed;
         let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin;
@@ -639,7 +637,7 @@
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                (h.failures, h.trials, h.lag, h.passes_on, h.room) = (0, 0, 0.0, 0.0, 0.0);
+                (h.failures, h.trials, h.room) = (0, 0, 0.0);
                 (h.cold_since, h.fill_limit) = (ZERO, 0.0);
             }
             h.entry = *entry;
@@ -674,15 +672,7 @@
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
         let warm = |h: &HostIndex| r.hosts[*h].usable(now) && r.warmth(*h, now).is_none();
-        let (warm, members) = (r.caches.members().filter(warm).count(), r.caches.members().count().max(1));
-        let mean = r.caches.members().map(|h| r.hosts[h].pace()).sum::<f64>() / members as f64;
-        for host in r.caches.members() {
-            let h = &mut r.hosts[host];
-            let crowded = h.pace() < CROWDED && h.pace() < mean * UNEVEN;
-            let step = if crowded { SHARE_STEP } else { -SHARE_STEP / 4.0 };
-            h.passes_on = (h.passes_on + step).clamp(0.0, 1.0 - SHARE_LEAST);
-            h.lag *= 1.0 - PACE_FADE;
-        }
+        let warm = r.caches.members().filter(warm).count();
         if warm > 0 {
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -43,6 +43,7 @@
     /// Kilobytes a second of one transfer to a client.
     pub flow: f64,
     pub joins: bool,
+    pub siblings: bool,
     pub direct: bool,
     pub notes: bool,
     pub weights: bool,
@@ -106,6 +107,7 @@
             routers,
             zone_routers,
             flow: number(told, "domain.flow_kb_per_s")?.max(1.0),
+            siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
             joins: flag(told, "domain.shares_fills"),
             direct: flag(told, "domain.pass_through_ok"),
             notes: text(told, "domain.note_level") == "all",
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,12 +18,8 @@
     pub cold_since: Duration,
     /// Forwards out there.
     pub out: f64,
-    /// Share of the full pace that hits there lack.
-    pub lag: f64,
     /// Transfers that its link fits, as learnt; 0: not yet.
     pub room: f64,
-    /// Share of its part of the ring that goes on along the ring.
-    pub passes_on: f64,
     /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
     pub fills_out: f64,
     pub fill_limit: f64,
@@ -61,6 +57,7 @@
     pub tried: [Option<HostIndex>; 2],
     /// The first forward that may have run, and when it was sent.
     pub may_have_run: Option<(HostIndex, Duration)>,
+    pub neighbour_lacks: bool,
     pub answered: bool,
     pub streaming: bool,
     /// Held for another GET's fill of the same object, until then at most.
