--- a/src/decide.rs
+++ b/src/decide.rs
@@ -291,7 +291,8 @@
     /// weight or, where weights are untold, as learnt while it was crowded.
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
-        let room = if self.site.weights { h.entry.units.max(0.1) } else { h.room };
+        let told = if self.site.weights { h.entry.units.max(0.1) } else { 0.0 };
+        let room = if h.room > 0.0 { h.room } else { told };
         if room > 0.0 { ((h.out * self.site.zone_routers + 1.0) / room).max(1.0) } else { 1.0 }
     }
 
@@ -592,7 +593,7 @@
         }
         if hit && o.end == End::Returned {
             let pace = (sending / spent.max(1e-3)).min(1.0);
-            if pace < CROWDED {
+            if pace < CROWDED && get.size_kb > 0.0 {
                 let there = ((h.out + 1.0) * r.site.zone_routers * pace).max(1.0);
                 h.room = if h.room > 0.0 { h.room + BLEND * (there - h.room) } else { there };
             }
@@ -603,12 +604,9 @@
         } else if source_failed && !straight && o.note != Note::OriginFailed {
             r.hosts[sent.source].judge(now, false);
         }
-        let wait = if r.site.notes {
-            o.source_wait.as_secs_f64()
-        } else {
-            spent - sending * (sent.slowness + slowness) / 2.0
-        };
-        let bad = filled && wait > ds.objective * SLOW_PART || source_failed;
+        let slow =
+            if r.site.notes { o.source_wait.as_secs_f64() > ds.objective * SLOW_PART } else { !in_time };
+        let bad = filled && slow || source_failed;
         let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin;
         let from_origin = if r.site.notes { by_origin } else { filled };
         if from_origin || bad {
