A probable fill that would be late on the location's link is shed

Cause: fills from all sources went at a quarter of their pace once the location's link was full, large ones late first. The link's told size, or what it fits as learnt from fills while crowded, tells which.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -96,6 +96,9 @@
     seen: Memory<Duration>,
     /// By object, where sizes are untold, the sending time of a part as learnt, s.
     sizes: Memory<f64>,
+    /// Forwards out that are probably fills, and transfers that the location's link fits, as learnt.
+    fills_out: f64,
+    link_room: f64,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -104,6 +107,19 @@
     follow_at: Duration,
 }
 
+/// Times its full time that a transfer takes beside others on a link; 1 where its room is not known.
+fn crowd(transfers: f64, room: f64) -> f64 {
+    if room > 0.0 { (transfers / room).max(1.0) } else { 1.0 }
+}
+
+/// Learns what a link fits from the pace of a transfer while it was full.
+fn learn_room(room: &mut f64, transfers: f64, pace: f64) {
+    let fits = (transfers * pace).max(1.0);
+    if pace < CROWDED {
+        *room = if *room > 0.0 { *room + BLEND * (fits - *room) } else { fits };
+    }
+}
+
 fn blend(mean: &mut f64, new: f64) {
     *mean += BLEND * (new - *mean);
 }
@@ -176,6 +192,8 @@
             purges: BTreeMap::new(),
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
+            fills_out: 0.0,
+            link_room: 0.0,
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -287,18 +305,23 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, by its
-    /// weight or, where weights are untold, as learnt while it was crowded.
+    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, as
+    /// learnt while it was crowded or by its weight.
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
-        let told = if self.site.weights { h.entry.units.max(0.1) } else { 0.0 };
-        let room = if h.room > 0.0 { h.room } else { told };
-        if room > 0.0 { ((h.out * self.site.zone_routers + 1.0) / room).max(1.0) } else { 1.0 }
+        let told = if self.site.weights { h.entry.units } else { 0.0 };
+        crowd((h.out * self.site.zone_routers) + 1.0, if h.room > 0.0 { h.room } else { told })
+    }
+
+    /// The same for the location's link in, which all fills share: by its told size or as learnt.
+    fn link_slowness(&self) -> f64 {
+        let room = if self.site.link > 0.0 { self.site.link } else { self.link_room };
+        crowd(self.fills_out * self.site.zone_routers + 1.0, room)
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
     /// With it comes whether any is open.
-    fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
+    fn cache(&mut self, place: Place, within: f64, link: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
         let (key, sending) = (g.key, g.sending);
@@ -309,7 +332,7 @@
                 let open = (again || g.tried[0] != Some(host)) && self.hosts[host].usable(now);
                 let open = open && self.may_go(g, host, now);
                 any |= open;
-                let fits = open && sending * self.slowness(host) <= within;
+                let fits = open && sending * self.slowness(host).max(link) <= within;
                 fits && self.admits(host, key, work, now)
             })
         };
@@ -430,8 +453,10 @@
             r.gets[place].waiting = true;
             return;
         }
+        let link = if fill { r.link_slowness() } else { 1.0 };
         let within = if write { f64::INFINITY } else { objective.max(sending * BOUND) };
-        let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
+        let (chosen, any) =
+            if write && r.site.direct { (None, false) } else { r.cache(place, within, link, now) };
         if chosen.is_none() && any {
             return self.give_up(place);
         }
@@ -465,6 +490,7 @@
         let source = forward.source;
         g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, slowness, withdrawn: false });
         r.hosts[source].fills_out += f64::from(u8::from(fill));
+        r.fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
@@ -574,6 +600,11 @@
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         let from = &mut r.hosts[sent.source];
         from.fills_out -= f64::from(u8::from(sent.fill));
+        r.fills_out -= f64::from(u8::from(sent.fill));
+        if filled && o.end == End::Returned && r.site.notes {
+            let pace = sending / (spent - o.source_wait.as_secs_f64()).max(1e-3);
+            learn_room(&mut r.link_room, (r.fills_out + 1.0) * r.site.zone_routers, pace);
+        }
         if filled && o.end == End::Returned || sent.fill && !matches!(o.end, End::Returned | End::Miss) {
             from.bound_fills(in_time && filled, now);
         }
@@ -591,12 +622,8 @@
             r.sizes.set(mix(get.object), known.map_or(seen, |known| known + BLEND * (seen - known)));
             blend(&mut learnt.sending, seen);
         }
-        if hit && o.end == End::Returned {
-            let pace = (sending / spent.max(1e-3)).min(1.0);
-            if pace < CROWDED && get.size_kb > 0.0 {
-                let there = ((h.out + 1.0) * r.site.zone_routers * pace).max(1.0);
-                h.room = if h.room > 0.0 { h.room + BLEND * (there - h.room) } else { there };
-            }
+        if hit && o.end == End::Returned && get.size_kb > 0.0 {
+            learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3));
         }
         if filled && !straight {
             r.hosts[sent.source].judge(now, true);
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -42,6 +42,8 @@
     pub zone_routers: f64,
     /// Kilobytes a second of one transfer to a client.
     pub flow: f64,
+    /// Such transfers that the location's link in fits; 0: not told.
+    pub link: f64,
     pub joins: bool,
     pub siblings: bool,
     pub direct: bool,
@@ -99,6 +101,7 @@
         let (counts, routers) = (places("domain.count_by_zone"), number(told, "balancers")?.max(1.0));
         let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
         let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
+        let flow = number(told, "domain.flow_kb_per_s")?.max(1.0);
         let heard = flag(told, "limits.retry_after");
         Ok(Self {
             zone,
@@ -106,7 +109,8 @@
             origin_kind: number(told, "domain.master_kind")? as usize,
             routers,
             zone_routers,
-            flow: number(told, "domain.flow_kb_per_s")?.max(1.0),
+            flow,
+            link: number(told, &format!("domain.feed_kb_per_s.{zone}")).unwrap_or(0.0) / flow,
             siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
             joins: flag(told, "domain.shares_fills"),
             direct: flag(told, "domain.pass_through_ok"),
