--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,6 +47,8 @@
 const SWEEP: Duration = Duration::from_millis(25);
 /// s; least patience beyond the expected sending time: several round trips to a far source.
 const PATIENCE: f64 = 0.25;
+/// times the expected time that a host may be silent: half as fast as thought is not dead.
+const PATIENT: f64 = 2.0;
 /// forwards for one GET; a third failure says that the trouble is not one host's.
 const MOST_FORWARDS: u32 = 3;
 /// share of a cold host's budget that the routers together use; the rest is for chance and late lists.
@@ -64,8 +66,6 @@
 /// is over.
 const FILLS_FIRST: f64 = 32.0;
 const FILLS_LEAST: f64 = 2.0;
-/// share of that with which the origin itself begins: what parents can't take must be earned there.
-const ORIGIN_FIRST: f64 = 0.125;
 /// share of the bound that is in use when a fill in time raises it by one.
 const FILLS_USED: f64 = 0.5;
 /// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
@@ -288,10 +288,6 @@
         ds.idempotent || ds.tokened && same && now + self.site.tick < since + ds.token_window
     }
 
-    fn most_forwards(&self) -> u32 {
-        self.site.most_forwards.map_or(MOST_FORWARDS, |most| most.min(MOST_FORWARDS))
-    }
-
     fn purged_at(&self, get: &Get) -> Option<Duration> {
         [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max().copied()
     }
@@ -341,15 +337,6 @@
         (found, any)
     }
 
-    /// The cache that held a new cache's part before, so probably the copy: it spares the location's link
-    /// when many caches are empty, whatever emptied them.
-    fn neighbour(&self, g: &InHand, host: HostIndex, now: Duration) -> Option<HostIndex> {
-        let mut order = self.caches.walk(g.key);
-        let new = order.next() == Some(host) && self.warmth(host, now).is_some();
-        let other = order.next().filter(|_| new && self.site.siblings && !g.neighbour_lacks)?;
-        (self.hosts[other].usable(now) && self.warmth(other, now).is_none()).then_some(other)
-    }
-
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
     fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<HostIndex> {
         let (key, tried) = (self.gets[place].key, self.gets[place].tried[1]);
@@ -442,7 +429,7 @@
         let ds = &r.services[get.ds];
         let (write, work) = (ds.write, r.learnt[get.ds].sending * r.learnt[get.ds].misses);
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        if hops >= r.most_forwards()
+        if hops >= r.site.most_forwards.min(MOST_FORWARDS)
             || left <= r.site.tick * 2
             || get.size_kb > 0.0 && left.as_secs_f64() < sending
         {
@@ -461,8 +448,7 @@
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let near = chosen.filter(|_| fill).and_then(|host| r.neighbour(&r.gets[place], host, now));
-        let source = near.or(origin).or_else(|| r.source(place, work, fill, now));
+        let source = origin.or_else(|| r.source(place, work, fill, now));
         if fill && source.is_none() {
             return self.give_up(place);
         }
@@ -479,11 +465,10 @@
             keep: if write { 0 } else { r.rank(key) },
             accepted_age: if write { ZERO } else { r.oldest(&get, now) },
             join: r.site.joins && !write,
-            held_only: near.is_some(),
             renew: !r.busy && !write,
         };
         let slowness = r.slowness(host);
-        let patience = (objective - sending * 1.1).max(sending * slowness + PATIENCE);
+        let patience = (objective - sending).max(sending * slowness * PATIENT + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
         g.waiting = false;
@@ -548,8 +533,7 @@
             g.may_have_run = Some((sent.host, sent.at));
         }
         g.answered |= o.closed;
-        g.neighbour_lacks |= o.end == End::Miss;
-        g.tried = [Some(sent.host).filter(|_| o.end != End::Miss), Some(sent.source)];
+        g.tried = [Some(sent.host), Some(sent.source)];
         let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
         let sending = g.sending;
         self.learn(&sent, o, &get, key, sending);
@@ -666,10 +650,7 @@
                 (h.cold_since, h.fill_limit) = (ZERO, 0.0);
             }
             h.entry = *entry;
-            if h.fill_limit == 0.0 {
-                let share = if entry.kind == r.site.origin_kind { ORIGIN_FIRST } else { 1.0 };
-                h.fill_limit = FILLS_FIRST * share;
-            }
+            h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { FILLS_FIRST };
         }
         let own =
             |r: &Router, e: &Entry| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind;
@@ -702,7 +683,7 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         }
-        let most = r.most_forwards();
+        let most = r.site.most_forwards.min(MOST_FORWARDS);
         for (place, g) in r.gets.iter_mut() {
             let settled = g.answered || g.streaming || g.hops >= most;
             let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -45,7 +45,6 @@
     /// Such transfers that the location's link in fits; 0: not told.
     pub link: f64,
     pub joins: bool,
-    pub siblings: bool,
     pub direct: bool,
     pub notes: bool,
     pub weights: bool,
@@ -60,7 +59,7 @@
     pub falls_in: f64,
     pub purged_within: Duration,
     pub tick: Duration,
-    pub most_forwards: Option<u32>,
+    pub most_forwards: u32,
     /// Origin fills a second that all routers together may ask for, where told.
     pub origin_rate: Option<f64>,
 }
@@ -111,7 +110,6 @@
             zone_routers,
             flow,
             link: number(told, &format!("domain.feed_kb_per_s.{zone}")).unwrap_or(0.0) / flow,
-            siblings: !matches!(text(told, "domain.lateral"), "" | "silent"),
             joins: flag(told, "domain.shares_fills"),
             direct: flag(told, "domain.pass_through_ok"),
             notes: text(told, "domain.note_level") == "all",
@@ -134,7 +132,7 @@
             falls_in: span(told, "obligations.fall_ms")?.as_secs_f64(),
             purged_within: span(told, "domain.gone_everywhere_ms").unwrap_or_default(),
             tick: span(told, "resolution_ms").unwrap_or_default(),
-            most_forwards: number(told, "limits.max_attempts").ok().map(|n| n as u32),
+            most_forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
             origin_rate: number(told, "domain.origin_rate_per_s").ok().filter(|&rate| rate > 0.0),
             hub_of,
         })
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,7 +57,6 @@
     pub tried: [Option<HostIndex>; 2],
     /// The first forward that may have run, and when it was sent.
     pub may_have_run: Option<(HostIndex, Duration)>,
-    pub neighbour_lacks: bool,
     pub answered: bool,
     pub streaming: bool,
     /// Held for another GET's fill of the same object, until then at most.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -231,18 +231,6 @@
     assert_snapshot!(day.trace.lines);
 }
 
-#[test]
-fn a_new_cache_takes_copies_from_the_one_that_held_its_part() {
-    let mut day = Day::new(settings());
-    day.now += ms(12_000);
-    let started = day.now - ms(12_000);
-    day.list(ListKind::Changes, &[Entry { started, ..entry(2) }]);
-    let get = day.take(0, 1);
-    day.trace.say("it lacks it: a parent is asked");
-    day.end(get, 0, End::Miss, Note::SourceLacks, 2);
-    assert_snapshot!(day.trace.lines);
-}
-
 #[test]
 fn one_part_tells_the_sending_time_of_the_others_where_sizes_are_untold() {
     let mut day = Day::new(settings());
