With a busy origin, parents are still asked for what they hold

Cause: with a slow origin the bound on fills shed also the half that parents hold. It should hold whatever slows or stops the origin; it hurts where the flag is wrong and the link full.

--- a/crates/benchlink/src/write.rs
+++ b/crates/benchlink/src/write.rs
@@ -71,7 +71,7 @@
 impl Dispatch for Desk {
     fn forward(&mut self, get: Place, f: &Forward) {
         let (host, source) = (self.hosts[f.host].clone(), self.hosts[f.source].clone());
-        let manner = u8::from(f.join) | u8::from(f.renew) << 3;
+        let manner = u8::from(f.join) | u8::from(f.held_only) << 1 | u8::from(f.renew) << 3;
         self.write_get(
             "Obtain",
             get,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -337,24 +337,29 @@
         (found, any)
     }
 
-    /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin.
-    fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<HostIndex> {
+    /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
+    /// else the ring's parent for what it holds, which costs the origin nothing. With it comes whether it is
+    /// that last one.
+    fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<(HostIndex, bool)> {
         let (key, tried) = (self.gets[place].key, self.gets[place].tried[1]);
         let ring = std::mem::take(&mut self.parents);
         let room = |h: &Host| !fill || h.fills_out < h.fill_limit;
-        let mut full = false;
+        let mut full = None;
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
                 let h = &self.hosts[host];
                 let open = self.near(&h.entry) == near && Some(host) != tried && h.usable(now);
-                full |= open && !room(h);
-                open && !full && self.admits(host, key, work, now)
+                full = full.or(Some(host).filter(|_| open && !room(h)));
+                open && full.is_none() && self.admits(host, key, work, now)
             })
         };
         let found = fit(true).or_else(|| fit(false));
         self.parents = ring;
-        let spared = full && self.busy && self.site.notes;
-        found.or(self.origin.filter(|&origin| !spared && room(&self.hosts[origin])))
+        let spared = full.is_some() && self.busy && self.site.notes;
+        let found = found.or(self.origin.filter(|&origin| !spared && room(&self.hosts[origin])));
+        let held = full
+            .filter(|&host| self.busy && !self.gets[place].source_lacks && self.admits(host, key, work, now));
+        found.map(|host| (host, false)).or(held.map(|host| (host, true)))
     }
 
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
@@ -429,10 +434,8 @@
         let ds = &r.services[get.ds];
         let (write, work) = (ds.write, r.learnt[get.ds].sending * r.learnt[get.ds].misses);
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        if hops >= r.site.most_forwards.min(MOST_FORWARDS)
-            || left <= r.site.tick * 2
-            || get.size_kb > 0.0 && left.as_secs_f64() < sending
-        {
+        let hopeless = left <= r.site.tick * 2 || get.size_kb > 0.0 && left.as_secs_f64() < sending;
+        if hopeless || hops >= r.site.most_forwards.min(MOST_FORWARDS) {
             return self.give_up(place);
         }
         let fill = !write && !r.held(&r.gets[place], now);
@@ -448,8 +451,9 @@
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let source = origin.or_else(|| r.source(place, work, fill, now));
-        if fill && source.is_none() {
+        let source = origin.map(|origin| (origin, false)).or_else(|| r.source(place, work, fill, now));
+        let (source, held_only) = source.map_or((None, false), |(host, held)| (Some(host), held));
+        if source.is_none() && !write {
             return self.give_up(place);
         }
         let host = chosen.or(source.filter(|_| r.site.direct));
@@ -465,6 +469,7 @@
             keep: if write { 0 } else { r.rank(key) },
             accepted_age: if write { ZERO } else { r.oldest(&get, now) },
             join: r.site.joins && !write,
+            held_only,
             renew: !r.busy && !write,
         };
         let slowness = r.slowness(host);
@@ -472,9 +477,8 @@
         let overdue = now + Duration::from_secs_f64(patience);
         let g = &mut r.gets[place];
         g.waiting = false;
-        let source = forward.source;
-        g.out = Some(Sent { hop: hops, host, source, at: now, overdue, fill, slowness, withdrawn: false });
-        r.hosts[source].fills_out += f64::from(u8::from(fill));
+        g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
+        r.hosts[forward.source].fills_out += f64::from(u8::from(fill));
         r.fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
@@ -530,10 +534,11 @@
         let Some(sent) = g.out.take_if(|s| s.hop == o.hop) else { return };
         let proven = matches!(o.end, End::Full | End::NoConnection | End::NeverSent | End::Miss);
         if !proven && o.end != End::Returned && g.may_have_run.is_none() {
-            g.may_have_run = Some((sent.host, sent.at));
+            g.may_have_run = Some((sent.to.host, sent.at));
         }
         g.answered |= o.closed;
-        g.tried = [Some(sent.host), Some(sent.source)];
+        g.source_lacks |= o.end == End::Miss;
+        g.tried = [sent.to.host, sent.to.source].map(|tried| Some(tried).filter(|_| o.end != End::Miss));
         let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
         let sending = g.sending;
         self.learn(&sent, o, &get, key, sending);
@@ -560,11 +565,11 @@
 
     /// What an outcome tells of the host, the source and the origin.
     fn learn(&mut self, sent: &Sent, o: &Outcome, get: &Get, key: u64, sending: f64) {
-        let (now, r, straight) = (self.now, &mut *self.r, sent.host == sent.source);
+        let (now, r, straight) = (self.now, &mut *self.r, sent.to.host == sent.to.source);
         let source_failed = matches!(o.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
             || !r.site.notes && matches!(o.end, End::Errored | End::Full);
-        let (cold, slowness) = (r.warmth(sent.host, now).is_some(), r.slowness(sent.host));
-        let h = &mut r.hosts[sent.host];
+        let (cold, slowness) = (r.warmth(sent.to.host, now).is_some(), r.slowness(sent.to.host));
+        let h = &mut r.hosts[sent.to.host];
         h.out = (h.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
             h.last_answer = now;
@@ -580,45 +585,46 @@
         if ds.write {
             return;
         }
+        let (returned, wait) = (o.end == End::Returned, o.source_wait.as_secs_f64());
         let in_time = spent <= ds.objective + ds.stretch * sending;
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
-        let from = &mut r.hosts[sent.source];
+        let from = &mut r.hosts[sent.to.source];
         from.fills_out -= f64::from(u8::from(sent.fill));
         r.fills_out -= f64::from(u8::from(sent.fill));
-        if filled && o.end == End::Returned && r.site.notes {
-            let pace = sending / (spent - o.source_wait.as_secs_f64()).max(1e-3);
-            learn_room(&mut r.link_room, (r.fills_out + 1.0) * r.site.zone_routers, pace);
+        if filled && returned && r.site.notes {
+            let transfers = (r.fills_out + 1.0) * r.site.zone_routers;
+            learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
-        if filled && o.end == End::Returned || sent.fill && !matches!(o.end, End::Returned | End::Miss) {
+        let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
+        if !sent.to.held_only && (filled && returned || failed) {
             from.bound_fills(in_time && filled, now);
         }
-        let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.host]);
+        let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
-        if o.end == End::Returned {
+        if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
             blend(&mut learnt.misses, f64::from(u8::from(!hit)));
             r.seen.set(key, now);
         }
-        if get.size_kb == 0.0 && o.end == End::Returned {
+        if get.size_kb == 0.0 && returned {
             // Parts of an object are alike: what one took, less the wait and the crowd, tells of the others.
-            let seen = (spent - o.source_wait.as_secs_f64()).max(1e-3) * 2.0 / (sent.slowness + slowness);
+            let seen = (spent - wait).max(1e-3) * 2.0 / (sent.slowness + slowness);
             let known = r.sizes.get(mix(get.object)).filter(|&known| known < seen);
             r.sizes.set(mix(get.object), known.map_or(seen, |known| known + BLEND * (seen - known)));
             blend(&mut learnt.sending, seen);
         }
-        if hit && o.end == End::Returned && get.size_kb > 0.0 {
+        if hit && returned && get.size_kb > 0.0 {
             learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3));
         }
         if filled && !straight {
-            r.hosts[sent.source].judge(now, true);
-            r.hosts[sent.source].last_answer = now;
+            r.hosts[sent.to.source].judge(now, true);
+            r.hosts[sent.to.source].last_answer = now;
         } else if source_failed && !straight && o.note != Note::OriginFailed {
-            r.hosts[sent.source].judge(now, false);
+            r.hosts[sent.to.source].judge(now, false);
         }
-        let slow =
-            if r.site.notes { o.source_wait.as_secs_f64() > ds.objective * SLOW_PART } else { !in_time };
+        let slow = if r.site.notes { wait > ds.objective * SLOW_PART } else { !in_time };
         let bad = filled && slow || source_failed;
-        let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.source) == r.origin;
+        let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.to.source) == r.origin;
         let from_origin = if r.site.notes { by_origin } else { filled };
         if from_origin || bad {
             r.fills.count(bad);
@@ -632,12 +638,10 @@
 
     pub fn listed<'e>(&mut self, kind: ListKind, entries: impl IntoIterator<Item = &'e Entry>) {
         let r = &mut *self.r;
-        match kind {
-            ListKind::Failed => r.follow_at = self.now + REST,
-            ListKind::Whole | ListKind::Kept => {
-                r.hosts.iter_mut().for_each(|h| h.entry.standing = Standing::Gone);
-            }
-            _ => {}
+        if matches!(kind, ListKind::Whole | ListKind::Kept) {
+            r.hosts.iter_mut().for_each(|h| h.entry.standing = Standing::Gone);
+        } else if kind == ListKind::Failed {
+            r.follow_at = self.now + REST;
         }
         for entry in entries {
             if r.hosts.len() <= entry.host {
@@ -646,15 +650,13 @@
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                (h.failures, h.trials, h.room) = (0, 0, 0.0);
-                (h.cold_since, h.fill_limit) = (ZERO, 0.0);
+                (h.failures, h.trials, h.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
             }
             h.entry = *entry;
             h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { FILLS_FIRST };
         }
-        let own =
-            |r: &Router, e: &Entry| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind;
-        r.caches = r.ring(own);
+        let cache = |r: &Router, e: &Entry| !r.parental(e) && e.kind != r.site.origin_kind;
+        r.caches = r.ring(|r, e| e.zone == r.site.zone && cache(r, e));
         r.parents = r.ring(Router::parental);
         r.origin = r.hosts.iter().position(|h| h.on() && h.entry.kind == r.site.origin_kind);
     }
@@ -687,7 +689,7 @@
         for (place, g) in r.gets.iter_mut() {
             let settled = g.answered || g.streaming || g.hops >= most;
             let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
-            let h = &mut r.hosts[sent.host];
+            let h = &mut r.hosts[sent.to.host];
             let overdue = now >= sent.overdue || sent.at < h.failed_at;
             if !overdue || h.last_answer >= sent.at || !r.services[g.get.ds].idempotent || !r.site.cancel {
                 continue;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,6 +117,8 @@
     /// Zero: the fresh time of the delivery service, or any age where it has none.
     pub accepted_age: Duration,
     pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
     pub renew: bool,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a router remembers of hosts and of GETs in hand: plain records.
 
-use crate::interface::{Entry, Get, HostIndex};
+use crate::interface::{Entry, Forward, Get, HostIndex};
 use std::time::Duration;
 
 /// A cache host, a parent or the origin. All zero: warm, healthy, not crowded, not listed.
@@ -33,8 +33,7 @@
 #[derive(Clone, Copy)]
 pub struct Sent {
     pub hop: u32,
-    pub host: HostIndex,
-    pub source: HostIndex,
+    pub to: Forward,
     pub at: Duration,
     pub overdue: Duration,
     /// Probably no hit, and counted as a fill.
@@ -57,6 +56,7 @@
     pub tried: [Option<HostIndex>; 2],
     /// The first forward that may have run, and when it was sent.
     pub may_have_run: Option<(HostIndex, Duration)>,
+    pub source_lacks: bool,
     pub answered: bool,
     pub streaming: bool,
     /// Held for another GET's fill of the same object, until then at most.
