--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,8 @@
 /// slow or failed fills are this part (one in so many) of a window's fills when the origin, not chance, is
 /// slow.
 const BUSY_PART: u32 = 4;
-/// share of the latency objective that a source may take to its first byte before the fill counts as slow.
-const SLOW_PART: f64 = 0.5;
+/// latency objectives that a source may take to its first byte: under one, far parents are slow by nature.
+const SLOW_PART: f64 = 1.0;
 /// points on the ring for a host of mean size; evens parts out to a tenth, stays in the processor's cache.
 const RING_POINTS: f64 = 96.0;
 /// outcomes by which a host is judged, and successes needed among them: few, to find a dead one in time;
