--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,10 +35,8 @@
 const SLOW_PART: f64 = 1.0;
 /// points on the ring for a host of mean size; evens parts out to a tenth, stays in the processor's cache.
 const RING_POINTS: f64 = 96.0;
-/// outcomes by which a host is judged, and successes needed among them: few, to find a dead one in time;
-/// half, so that single chance failures do not count.
+/// outcomes by which a host is judged, half of them successes: few, to find a dead one in time.
 const FEW: u32 = 4;
-const ENOUGH: u32 = 2;
 /// ms; a failed host rests this long before one trial, doubled at each failed trial up to four times it.
 const REST: Duration = Duration::from_millis(1000);
 /// ms; a host without a success for so long may have been restarted and is treated as cold on its return.
@@ -53,6 +51,8 @@
 const MOST_FORWARDS: u32 = 3;
 /// share of a cold host's budget that the routers together use; the rest is for chance and late lists.
 const BUDGET_PART: f64 = 0.5;
+/// size of a small host beside the mean, where weights are untold: the cold one may be small.
+const SMALLEST: f64 = 0.6;
 /// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
 const BOUND: f64 = 2.0;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
@@ -130,7 +130,7 @@
     }
 
     fn failed(&self) -> bool {
-        (self.failures & ((1 << FEW) - 1)).count_ones() > FEW - ENOUGH
+        (self.failures & ((1 << FEW) - 1)).count_ones() > FEW / 2
     }
 
     /// Bounds the fills out together from one source by whether they come in time: guards the location's
@@ -151,8 +151,8 @@
         self.on() && (!self.failed() || now >= self.rests_until && self.out == 0.0)
     }
 
-    /// Guards against dead, silent, refusing and unreachable hosts alike. A host that is only crowded may be
-    /// rested too; one trial at a time brings it back.
+    /// Guards against dead, silent and unreachable hosts, and cold ones that turn GETs away. A host that is
+    /// only crowded may be rested too; one trial at a time brings it back.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
         self.failures = self.failures << 1 | u32::from(!success);
@@ -257,7 +257,7 @@
     /// again. It hurts where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
-        let carried = self.carried * self.site.zone_routers;
+        let carried = self.carried * self.site.zone_routers * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
         let parental = self.parental(entry);
@@ -577,6 +577,7 @@
         match o.end {
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
+            End::Full if cold => h.judge(now, false),
             End::Errored | End::NoConnection | End::Reset => h.judge(now, false),
             End::TimedOut if !sent.withdrawn && h.last_answer < sent.at => h.judge(now, false),
             _ => {}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -135,6 +135,22 @@
     );
 }
 
+#[test]
+fn a_cold_cache_that_turns_gets_away_is_rested() {
+    let mut day = Day::new(settings());
+    let started = day.now - ms(10_000);
+    day.list(ListKind::Changes, &[Entry { started, ..entry(0) }]);
+    let mut full = 0;
+    for object in 0..60 {
+        let get = day.take(0, object);
+        let cold = day.trace.last.unwrap().host == 0;
+        full += u32::from(cold);
+        day.end(get, 0, if cold { End::Full } else { End::Returned }, Note::NoFillPlace, 5);
+        day.end(get, 1, End::Returned, Note::Hit, 110);
+    }
+    assert_eq!(full, 3, "forwards to a cold cache that is full");
+}
+
 #[test]
 fn a_silent_cache_is_left_and_tried_again_later() {
     let mut day = Day::new(settings());
