--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,6 +53,8 @@
 const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
 const SMALLEST: f64 = 0.6;
+/// share of the time left for the latency objective that a GET is sent within: room for what comes after it.
+const IN_TIME: f64 = 0.85;
 /// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
 const BOUND: f64 = 2.0;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
@@ -444,7 +446,7 @@
             return;
         }
         let link = if fill { r.link_slowness() } else { 1.0 };
-        let within = if write { f64::INFINITY } else { objective.max(sending * BOUND) };
+        let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending * BOUND) };
         let (chosen, any) =
             if write && r.site.direct { (None, false) } else { r.cache(place, within, link, now) };
         if chosen.is_none() && any {
