--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,9 +54,7 @@
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
 const SMALLEST: f64 = 0.6;
 /// share of the time left for the latency objective that a GET is sent within: room for what comes after it.
-const IN_TIME: f64 = 0.85;
-/// times its sending time that a GET may take before the latency objective alone decides whether it is shed.
-const BOUND: f64 = 2.0;
+const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
 const CROWDED: f64 = 0.7;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
@@ -74,7 +72,7 @@
 const FILLS_CUT: f64 = 0.8;
 const FILLS_CUT_EVERY: Duration = Duration::from_millis(250);
 /// ms; a copy returned so lately is taken to be held still: under what caches keep unused.
-const HELD: Duration = Duration::from_millis(5000);
+const HELD: Duration = Duration::from_millis(3000);
 /// objects remembered as seen; a power of two, some minutes of a busy router.
 const SEEN: usize = 1 << 16;
 /// ms; mean wait told to a client that was shed, scattered by half.
@@ -446,7 +444,7 @@
             return;
         }
         let link = if fill { r.link_slowness() } else { 1.0 };
-        let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending * BOUND) };
+        let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
         let (chosen, any) =
             if write && r.site.direct { (None, false) } else { r.cache(place, within, link, now) };
         if chosen.is_none() && any {
