--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,6 +53,9 @@
 const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
 const SMALLEST: f64 = 0.6;
+/// share of the latency objective that a source's wait may take off: a slow origin must not hide what parents
+/// hold.
+const WAIT_PART: f64 = 0.33;
 /// share of the time left for the latency objective that a GET is sent within: room for what comes after it.
 const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
@@ -175,6 +178,7 @@
             accepted_age: ds.fresh,
             sending: ds.objective * SENDING_FIRST,
             misses: MISSES_FIRST,
+            wait: 0.0,
         };
         Ok(Self {
             learnt: services.iter().map(learnt).collect(),
@@ -444,7 +448,8 @@
             return;
         }
         let link = if fill { r.link_slowness() } else { 1.0 };
-        let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
+        let wait = if fill { r.learnt[get.ds].wait.min(ds.objective * WAIT_PART) } else { 0.0 };
+        let within = if write { f64::INFINITY } else { ((objective - wait) * IN_TIME).max(sending) };
         let (chosen, any) =
             if write && r.site.direct { (None, false) } else { r.cache(place, within, link, now) };
         if chosen.is_none() && any {
@@ -524,9 +529,8 @@
 
     /// The answer of a streamed delivery service has begun: the client has it, no deadline counts.
     pub fn started(&mut self, place: Place, hop: u32) {
-        if let Some(g) = self.r.gets.get_mut(place) {
-            g.streaming = g.out.is_some_and(|s| s.hop == hop);
-        }
+        let g = self.r.gets.get_mut(place);
+        g.into_iter().for_each(|g| g.streaming = g.out.is_some_and(|s| s.hop == hop));
     }
 
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
@@ -605,6 +609,7 @@
         if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
             blend(&mut learnt.misses, f64::from(u8::from(!hit)));
+            learnt.wait += if filled { BLEND * (wait - learnt.wait) } else { 0.0 };
             r.seen.set(key, now);
         }
         if get.size_kb == 0.0 && returned {
@@ -669,9 +674,7 @@
     }
 
     pub fn sampled(&mut self, host: HostIndex, reached: bool, _load: &Load) {
-        if let Some(h) = self.r.hosts.get_mut(host) {
-            h.judge(self.now, reached);
-        }
+        self.r.hosts.get_mut(host).into_iter().for_each(|h| h.judge(self.now, reached));
     }
 
     /// The wake-up. Withdraws overdue forwards from hosts that answer nobody, whatever silenced them. A slow
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,4 +71,6 @@
     /// Mean sending time, s, and mean share of misses.
     pub sending: f64,
     pub misses: f64,
+    /// Mean time to a source's first byte, s, where notes tell.
+    pub wait: f64,
 }
