--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 //! 5. load bound: what would be late goes on along the ring or is shed; late fills bound their source;
 //! 6. keep rank: an object seen again outranks one seen once.
 
-use crate::footprint::{DeliveryService, Footprint, TokenGroup};
+use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
 use crate::ring::{Memory, Ring, Window, mix};
 use crate::state::{Host, InHand, Learnt, Sent};
@@ -99,8 +99,7 @@
     seen: Memory<Duration>,
     /// By object, where sizes are untold, the sending time of a part as learnt, s.
     sizes: Memory<f64>,
-    /// Forwards out that are probably fills, and transfers that the location's link fits, as learnt.
-    fills_out: f64,
+    /// Transfers that the location's link fits, as learnt.
     link_room: f64,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
@@ -119,12 +118,12 @@
 fn learn_room(room: &mut f64, transfers: f64, pace: f64) {
     let fits = (transfers * pace).max(1.0);
     if pace < CROWDED {
-        *room = if *room > 0.0 { *room + BLEND * (fits - *room) } else { fits };
+        *room = if *room > 0.0 { blended(*room, fits) } else { fits };
     }
 }
 
-fn blend(mean: &mut f64, new: f64) {
-    *mean += BLEND * (new - *mean);
+fn blended(mean: f64, new: f64) -> f64 {
+    mean + BLEND * (new - mean)
 }
 
 impl Host {
@@ -196,7 +195,6 @@
             purges: BTreeMap::new(),
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
-            fills_out: 0.0,
             link_room: 0.0,
             carried: 0.0,
             sent_work: 0.0,
@@ -246,10 +244,14 @@
         self.site.hub_of.get(entry.zone) == self.site.hub_of.get(self.site.zone)
     }
 
+    fn start(&self, entry: &Entry) -> &ColdStart {
+        if self.parental(entry) { &self.site.parent_start } else { &self.site.cache_start }
+    }
+
     /// Share of its full work that a host which started lately may get; none of a warm one.
     fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
         let Host { entry, cold_since, .. } = &self.hosts[host];
-        let start = if self.parental(entry) { &self.site.parent_start } else { &self.site.cache_start };
+        let start = self.start(entry);
         let since = entry.started.max(*cold_since);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
@@ -264,17 +266,15 @@
         let carried = self.carried * self.site.zone_routers * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
-        let parental = self.parental(entry);
-        let part = mix(key ^ entry.mark) as f64 / u64::MAX as f64;
-        if parental && !self.near(entry) || part > warmth {
+        let (start, part) = (self.start(entry), mix(key ^ entry.mark) as f64 / u64::MAX as f64);
+        if self.parental(entry) && !self.near(entry) || part > warmth {
             return false;
         }
-        let (site, h) = (&self.site, &mut self.hosts[host]);
-        let start = if parental { &site.parent_start } else { &site.cache_start };
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
+        let h = &mut self.hosts[host];
         h.spent = (h.spent - now.saturating_sub(h.spent_at).as_secs_f64() * rate).max(0.0);
         h.spent_at = now;
-        let fits = h.spent + work <= rate * site.falls_in;
+        let fits = h.spent + work <= rate * self.site.falls_in;
         h.spent += if fits { work } else { 0.0 };
         fits
     }
@@ -310,13 +310,17 @@
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
         let told = if self.site.weights { h.entry.units } else { 0.0 };
-        crowd((h.out * self.site.zone_routers) + 1.0, if h.room > 0.0 { h.room } else { told })
+        crowd(h.out * self.site.zone_routers + 1.0, if h.room > 0.0 { h.room } else { told })
     }
 
     /// The same for the location's link in, which all fills share: by its told size or as learnt.
     fn link_slowness(&self) -> f64 {
         let room = if self.site.link > 0.0 { self.site.link } else { self.link_room };
-        crowd(self.fills_out * self.site.zone_routers + 1.0, room)
+        crowd(self.fills_out() * self.site.zone_routers + 1.0, room)
+    }
+
+    fn fills_out(&self) -> f64 {
+        self.hosts.iter().map(|h| h.fills_out).sum()
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
@@ -413,7 +417,7 @@
         };
         let (object, told) = (mix(get.object), (get.size_kb > 0.0).then_some(get.size_kb / r.site.flow));
         let sending = told.or_else(|| r.sizes.get(object)).unwrap_or(learnt.sending);
-        told.iter().for_each(|&told| blend(&mut learnt.sending, told));
+        learnt.sending = told.map_or(learnt.sending, |told| blended(learnt.sending, told));
         let spare = ds.objective + (ds.stretch - 1.0) * sending - PATIENCE;
         let half = (get.viewer_timeout / 2).saturating_sub(SWEEP);
         let place = r.gets.insert(InHand {
@@ -482,7 +486,6 @@
         g.waiting = false;
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
         r.hosts[forward.source].fills_out += f64::from(u8::from(fill));
-        r.fills_out += f64::from(u8::from(fill));
         g.hops += 1;
         r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
@@ -591,31 +594,30 @@
         let (returned, wait) = (o.end == End::Returned, o.source_wait.as_secs_f64());
         let in_time = spent <= ds.objective + ds.stretch * sending;
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
-        let from = &mut r.hosts[sent.to.source];
-        from.fills_out -= f64::from(u8::from(sent.fill));
-        r.fills_out -= f64::from(u8::from(sent.fill));
+        r.hosts[sent.to.source].fills_out -= f64::from(u8::from(sent.fill));
         if filled && returned && r.site.notes {
-            let transfers = (r.fills_out + 1.0) * r.site.zone_routers;
+            let transfers = (r.fills_out() + 1.0) * r.site.zone_routers;
             learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
         if !sent.to.held_only && (filled && returned || failed) {
-            from.bound_fills(in_time && filled, now);
+            r.hosts[sent.to.source].bound_fills(in_time && filled, now);
         }
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
-            blend(&mut learnt.misses, f64::from(u8::from(!hit)));
-            learnt.wait += if filled { BLEND * (wait - learnt.wait) } else { 0.0 };
+            learnt.misses = blended(learnt.misses, f64::from(u8::from(!hit)));
+            learnt.wait = if filled { blended(learnt.wait, wait) } else { learnt.wait };
             r.seen.set(key, now);
         }
         if get.size_kb == 0.0 && returned {
             // Parts of an object are alike: what one took, less the wait and the crowd, tells of the others.
             let seen = (spent - wait).max(1e-3) * 2.0 / (sent.slowness + slowness);
-            let known = r.sizes.get(mix(get.object)).filter(|&known| known < seen);
-            r.sizes.set(mix(get.object), known.map_or(seen, |known| known + BLEND * (seen - known)));
-            blend(&mut learnt.sending, seen);
+            let object = mix(get.object);
+            let known = r.sizes.get(object).filter(|&known| known < seen);
+            r.sizes.set(object, known.map_or(seen, |known| blended(known, seen)));
+            learnt.sending = blended(learnt.sending, seen);
         }
         if hit && returned && get.size_kb > 0.0 {
             learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3));
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,4 +1,5 @@
-//! The ring, the window of counts and the memory of keys, as plain structures: what goes in is decided elsewhere.
+//! The ring, the window of counts and the memory of keys, as plain structures. What goes in is decided
+//! elsewhere.
 
 use crate::interface::HostIndex;
 use std::time::Duration;
