--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -105,7 +105,7 @@
                     let instance = known
                         .ok_or_else(|| format!("line {}: instance {i} has not started", said[0].number))?;
                     play(instance, now, said)?;
-                    reply.append(&mut instance.desk.lines);
+                    reply.append(&mut instance.desk.lines.bytes);
                 }
             }
         }
