A cold parent's budget is charged only for what is sent to it

Asking whether the parent could take what it holds charged its cold-start budget even when the fill then went to the origin.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -364,9 +364,10 @@
         self.parents = ring;
         let spared = full.is_some() && self.busy && self.site.notes;
         let found = found.or(self.origin.filter(|&origin| !spared && room(&self.hosts[origin])));
-        let held = full
-            .filter(|&host| self.busy && !self.gets[place].source_lacks && self.admits(host, key, work, now));
-        found.map(|host| (host, false)).or(held.map(|host| (host, true)))
+        found.map(|host| (host, false)).or_else(|| {
+            let held = full.filter(|_| self.busy && !self.gets[place].source_lacks)?;
+            self.admits(held, key, work, now).then_some((held, true))
+        })
     }
 
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
