Fills that would be late by their source's pace are not started; caches are asked for what they hold

Cause: at full size six routers share a location and forty a hub; bounds counted per router (32 at first, 2 at least) let hundreds of fills pile up, all late, and a GET shed for a late fill was often a hit, since a router sees a sixth of what its location returns. Each source's fills now tell the pace, forgotten by half in 2 s; what would be late is not filled, and the cache is asked once for what it holds. Guards against any slow source or full link, whatever slows it; hurts where one slow cache spoils a good source's pace.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,6 +60,9 @@
 const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
 const CROWDED: f64 = 0.7;
+/// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
+const PACE_BLEND: f64 = 0.2;
+const PACE_HALVES: f64 = 2.0;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
 const SENDING_FIRST: f64 = 0.25;
 const MISSES_FIRST: f64 = 0.5;
@@ -148,6 +151,22 @@
         }
     }
 
+    /// Times its sending time that a fill from there takes, as seen lately.
+    fn fill_pace(&self, now: Duration) -> f64 {
+        let since = now.saturating_sub(self.filled_at).as_secs_f64();
+        1.0 + (self.pace - 1.0).max(0.0) * 0.5f64.powf(since / PACE_HALVES)
+    }
+
+    /// Learns from a fill's time, that of one not yet done included.
+    fn learn_pace(&mut self, spent: f64, sending: f64, now: Duration) {
+        let pace = self.fill_pace(now);
+        let weight = (PACE_BLEND * sending / self.pace_sending.max(sending)).min(1.0);
+        self.pace_sending =
+            if self.pace_sending > 0.0 { blended(self.pace_sending, sending) } else { sending };
+        self.pace = pace + weight * (spent / sending.max(1e-3) - pace);
+        self.filled_at = now;
+    }
+
     /// Open to GETs; a failed host, after its rest, to one trial at a time.
     fn usable(&self, now: Duration) -> bool {
         self.on() && (!self.failed() || now >= self.rests_until && self.out == 0.0)
@@ -325,7 +344,7 @@
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
     /// With it comes whether any is open.
-    fn cache(&mut self, place: Place, within: f64, link: f64, now: Duration) -> (Option<HostIndex>, bool) {
+    fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
         let (key, sending) = (g.key, g.sending);
@@ -336,7 +355,7 @@
                 let open = (again || g.tried[0] != Some(host)) && self.hosts[host].usable(now);
                 let open = open && self.may_go(g, host, now);
                 any |= open;
-                let fits = open && sending * self.slowness(host).max(link) <= within;
+                let fits = open && sending * self.slowness(host) <= within;
                 fits && self.admits(host, key, work, now)
             })
         };
@@ -347,10 +366,17 @@
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
     /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it.
-    fn source(&mut self, place: Place, work: f64, fill: bool, now: Duration) -> Option<(HostIndex, bool)> {
-        let (key, tried) = (self.gets[place].key, self.gets[place].tried[1]);
+    fn source(
+        &mut self,
+        place: Place,
+        work: f64,
+        fill: bool,
+        within: f64,
+        now: Duration,
+    ) -> Option<(HostIndex, bool)> {
+        let InHand { key, tried: [_, tried], sending, .. } = self.gets[place];
         let ring = std::mem::take(&mut self.parents);
-        let room = |h: &Host| !fill || h.fills_out < h.fill_limit;
+        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && sending * h.fill_pace(now) <= within;
         let mut full = None;
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
@@ -453,17 +479,22 @@
         let link = if fill { r.link_slowness() } else { 1.0 };
         let wait = if fill { r.learnt[get.ds].wait.min(ds.objective * WAIT_PART) } else { 0.0 };
         let within = if write { f64::INFINITY } else { ((objective - wait) * IN_TIME).max(sending) };
-        let (chosen, any) =
-            if write && r.site.direct { (None, false) } else { r.cache(place, within, link, now) };
+        let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
         if chosen.is_none() && any {
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let source = origin.map(|origin| (origin, false)).or_else(|| r.source(place, work, fill, now));
+        let late = fill && sending * link > within;
+        let source = origin.map(|origin| (origin, false));
+        let source = source.or_else(|| r.source(place, work, fill, within, now).filter(|_| !late));
+        // No fill would be in time: the cache is asked for what it holds, once.
+        let look = chosen.filter(|_| source.is_none() && !write && !r.gets[place].source_lacks);
+        let source = source.or(look.map(|host| (host, false)));
         let (source, held_only) = source.map_or((None, false), |(host, held)| (Some(host), held));
         if source.is_none() && !write {
             return self.give_up(place);
         }
+        let fill = fill && look.is_none();
         let host = chosen.or(source.filter(|_| r.site.direct));
         let Some(host) = host.filter(|&host| r.may_go(&r.gets[place], host, now)) else {
             return self.give_up(place);
@@ -601,6 +632,9 @@
             learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
+        if filled && returned || sent.fill && matches!(o.end, End::TimedOut | End::Withdrawn) {
+            r.hosts[sent.to.source].learn_pace(spent, sending, now);
+        }
         if !sent.to.held_only && (filled && returned || failed) {
             r.hosts[sent.to.source].bound_fills(in_time && filled, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,10 @@
     pub fills_out: f64,
     pub fill_limit: f64,
     pub fills_cut_at: Duration,
+    /// Times their sending time that fills from there took, the mean sending time of those, and the last one.
+    pub pace: f64,
+    pub pace_sending: f64,
+    pub filled_at: Duration,
     /// Work sent while cold, s, draining at the budget's rate.
     pub spent: f64,
     pub spent_at: Duration,
