Others' forwards at a cache are taken as this router's own mean over a second

What a router had out was multiplied by the routers of the location: with six of them one forward counted as six, none as none. Now its own forwards count once and its own mean once for each other router. Fills cut short count for their source's pace only where the cache has answered since.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,6 +60,8 @@
 const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
 const CROWDED: f64 = 0.7;
+/// ms; over which what this router has out at a cache is taken as what each other one has there.
+const MEAN_OVER: Duration = Duration::from_millis(1000);
 /// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
 const PACE_BLEND: f64 = 0.2;
 const PACE_HALVES: f64 = 2.0;
@@ -329,7 +331,10 @@
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
         let told = if self.site.weights { h.entry.units } else { 0.0 };
-        crowd(h.out * self.site.zone_routers + 1.0, if h.room > 0.0 { h.room } else { told })
+        crowd(
+            h.out + 1.0 + h.out_mean * (self.site.zone_routers - 1.0),
+            if h.room > 0.0 { h.room } else { told },
+        )
     }
 
     /// The same for the location's link in, which all fills share: by its told size or as learnt.
@@ -632,7 +637,9 @@
             learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
-        if filled && returned || sent.fill && matches!(o.end, End::TimedOut | End::Withdrawn) {
+        let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
+        let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
+        if filled && returned || unfinished {
             r.hosts[sent.to.source].learn_pace(spent, sending, now);
         }
         if !sent.to.held_only && (filled && returned || failed) {
@@ -723,6 +730,10 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         }
+        for cache in r.caches.members() {
+            let h = &mut r.hosts[cache];
+            h.out_mean += (h.out - h.out_mean) * SWEEP.div_duration_f64(MEAN_OVER);
+        }
         let most = r.site.most_forwards.min(MOST_FORWARDS);
         for (place, g) in r.gets.iter_mut() {
             let settled = g.answered || g.streaming || g.hops >= most;
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
     pub cold_since: Duration,
     /// Forwards out there.
     pub out: f64,
+    /// Mean of those lately.
+    pub out_mean: f64,
     /// Transfers that its link fits, as learnt; 0: not yet.
     pub room: f64,
     /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
