--- a/src/decide.rs
+++ b/src/decide.rs
@@ -109,6 +109,9 @@
     sizes: Memory<f64>,
     /// Transfers that the location's link fits, as learnt.
     link_room: f64,
+    /// This router's probable fills out, and their mean lately.
+    fills_out: f64,
+    fills_mean: f64,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -220,6 +223,8 @@
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
             link_room: 0.0,
+            fills_out: 0.0,
+            fills_mean: 0.0,
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -348,11 +353,12 @@
     /// The same for the location's link in, which all fills share: by its told size or as learnt.
     fn link_slowness(&self) -> f64 {
         let room = if self.site.link > 0.0 { self.site.link } else { self.link_room };
-        crowd(self.fills_out() * self.site.zone_routers + 1.0, room)
+        crowd(self.link_load(), room)
     }
 
-    fn fills_out(&self) -> f64 {
-        self.hosts.iter().map(|h| h.fills_out).sum()
+    /// Transfers on the location's link: this router's, and as many as it has on the mean for each other one.
+    fn link_load(&self) -> f64 {
+        self.fills_out + 1.0 + self.fills_mean * (self.site.zone_routers - 1.0)
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
@@ -530,7 +536,9 @@
         let g = &mut r.gets[place];
         g.waiting = false;
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
-        r.hosts[forward.source].fills_out += f64::from(u8::from(fill));
+        let fills = f64::from(u8::from(fill));
+        r.hosts[forward.source].fills_out += fills;
+        r.fills_out += fills;
         g.hops += 1;
         r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
@@ -639,9 +647,11 @@
         let (returned, wait) = (o.end == End::Returned, o.source_wait.as_secs_f64());
         let in_time = spent <= ds.objective + ds.stretch * sending;
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
-        r.hosts[sent.to.source].fills_out -= f64::from(u8::from(sent.fill));
+        let fills = f64::from(u8::from(sent.fill));
+        r.hosts[sent.to.source].fills_out -= fills;
+        r.fills_out -= fills;
         if filled && returned && r.site.notes {
-            let transfers = (r.fills_out() + 1.0) * r.site.zone_routers;
+            let transfers = r.link_load();
             learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
@@ -740,6 +750,7 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         }
+        r.fills_mean += (r.fills_out - r.fills_mean) * SWEEP.div_duration_f64(MEAN_OVER);
         for cache in r.caches.members() {
             let h = &mut r.hosts[cache];
             h.out_mean += (h.out - h.out_mean) * SWEEP.div_duration_f64(MEAN_OVER);
