The link's room is learnt where waits are untold too, from fills of long sending time

Cause: where answers tell only hits the router knew no room of its link, so nothing stopped fills before they were late. The wait is then part of a fill's time; beside half a latency objective of sending it is small.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,6 +65,8 @@
 /// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
 const PACE_BLEND: f64 = 0.2;
 const PACE_HALVES: f64 = 2.0;
+/// latency objectives that a sending time must take for a wait not told to be small beside it.
+const LONG: f64 = 0.5;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
 const SENDING_FIRST: f64 = 0.25;
 const MISSES_FIRST: f64 = 0.5;
@@ -650,7 +652,8 @@
         let fills = f64::from(u8::from(sent.fill));
         r.hosts[sent.to.source].fills_out -= fills;
         r.fills_out -= fills;
-        if filled && returned && r.site.notes {
+        // Where the wait is untold, only what takes long beside any wait tells the link's pace.
+        if filled && returned && (r.site.notes || sending > ds.objective * LONG) {
             let transfers = r.link_load();
             learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
         }
