--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,6 +65,10 @@
 /// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
 const PACE_BLEND: f64 = 0.2;
 const PACE_HALVES: f64 = 2.0;
+/// the same for fills where their wait is untold and part of their time.
+const JAMMED: f64 = 0.4;
+/// weight of a transfer at full pace beyond the learnt room: low, for room is lost faster than it is had.
+const RISE: f64 = 0.03;
 /// latency objectives that a sending time must take for a wait not told to be small beside it.
 const LONG: f64 = 0.5;
 /// share of the latency objective taken for the sending time, and share of misses, until some are seen.
@@ -128,10 +132,12 @@
 }
 
 /// Learns what a link fits from the pace of a transfer while it was full.
-fn learn_room(room: &mut f64, transfers: f64, pace: f64) {
+fn learn_room(room: &mut f64, transfers: f64, pace: f64, crowded: f64) {
     let fits = (transfers * pace).max(1.0);
-    if pace < CROWDED {
+    if pace < crowded {
         *room = if *room > 0.0 { blended(*room, fits) } else { fits };
+    } else if *room > 0.0 && pace > CROWDED && fits > *room {
+        *room += RISE * (fits - *room);
     }
 }
 
@@ -655,7 +661,12 @@
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
         if filled && returned && (r.site.notes || sending > ds.objective * LONG) {
             let transfers = r.link_load();
-            learn_room(&mut r.link_room, transfers, sending / (spent - wait).max(1e-3));
+            learn_room(
+                &mut r.link_room,
+                transfers,
+                sending / (spent - wait).max(1e-3),
+                if r.site.notes { CROWDED } else { JAMMED },
+            );
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
         let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
@@ -684,7 +695,7 @@
             learnt.sending = blended(learnt.sending, seen);
         }
         if hit && returned && get.size_kb > 0.0 {
-            learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3));
+            learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3), CROWDED);
         }
         if filled && !straight {
             r.hosts[sent.to.source].judge(now, true);
