A silent host is passed by at once; nothing is withdrawn from it

Cause: an overdue forward is late already; withdrawing it, looking elsewhere and filling twice cost more than it earned. Now a host with an overdue forward and no answer since is closed to new GETs until it answers, and what ends unanswered counts against it, clients' leaving included. Guards against silent, hung and cut-off machines; hurts where a host's only forward is a large one, whose keys then go on along the ring for a moment. A GET no longer waits for a fill that is overdue.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 //! 1. health: a host is judged by the successes among its last few outcomes, silence included;
 //! 2. cold-start budget: a host that started lately gets a growing share of its part, within a budget;
 //! 3. fill source: the ring's parent, or the next that is well; a fill that is out is waited for;
-//! 4. time-outs and further forwards: what is overdue at a silent host is withdrawn and sent elsewhere;
+//! 4. silence and further forwards: a host with an overdue forward and no answer since is passed by;
 //! 5. load bound: what would be late goes on along the ring or is shed; late fills bound their source;
 //! 6. keep rank: an object seen again outranks one seen once.
 
@@ -183,9 +183,16 @@
         self.filled_at = now;
     }
 
-    /// Open to GETs; a failed host, after its rest, to one trial at a time.
+    /// Open to GETs; a failed host, after its rest, to one trial at a time. A silent one, with a forward due
+    /// and no answer since, is passed by at once, whatever silences it; what is out there is late already and
+    /// stays, for a fill may run on after its client has left and be paid for twice.
     fn usable(&self, now: Duration) -> bool {
-        self.on() && (!self.failed() || now >= self.rests_until && self.out == 0.0)
+        let silent = self.out > 0.0 && now >= self.due;
+        self.on() && !silent && (!self.failed() || now >= self.rests_until && self.out == 0.0)
+    }
+
+    fn answered(&mut self, now: Duration) {
+        (self.last_answer, self.due) = (now, Duration::MAX);
     }
 
     /// Guards against dead, silent and unreachable hosts, and cold ones that turn GETs away. A host that is
@@ -199,7 +206,7 @@
             }
             (self.last_success, self.trials) = (now, 0);
         } else if self.failed() && (!failed || now >= self.rests_until) {
-            (self.failed_at, self.rests_until) = (now, now + REST * (1 << self.trials));
+            self.rests_until = now + REST * (1 << self.trials);
             self.trials = (self.trials + 1).min(2);
         }
     }
@@ -441,7 +448,8 @@
     /// A first fill of the same object is out and GETs can't join it: waiting spares the links and the origin
     /// the same bytes. Holds against any rush for what no cache has: a purge, a new hot object, a cold cache.
     fn waits(&self, g: &InHand, now: Duration) -> bool {
-        let fills = |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn);
+        let fills =
+            |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn && now < s.overdue);
         !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
     }
 }
@@ -541,6 +549,9 @@
         let slowness = r.slowness(host);
         let patience = (objective - sending).max(sending * slowness * PATIENT + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
+        let h = &mut r.hosts[host];
+        h.due = if h.out > 0.0 { h.due.min(overdue) } else { overdue };
+        h.out += 1.0;
         let g = &mut r.gets[place];
         g.waiting = false;
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
@@ -548,7 +559,6 @@
         r.hosts[forward.source].fills_out += fills;
         r.fills_out += fills;
         g.hops += 1;
-        r.hosts[host].out += 1.0;
         self.out.forward(place, &forward);
     }
 
@@ -592,7 +602,9 @@
     /// The answer of a streamed delivery service has begun: the client has it, no deadline counts.
     pub fn started(&mut self, place: Place, hop: u32) {
         let g = self.r.gets.get_mut(place);
-        g.into_iter().for_each(|g| g.streaming = g.out.is_some_and(|s| s.hop == hop));
+        if let Some(sent) = g.and_then(|g| g.out.filter(|s| s.hop == hop)) {
+            self.r.hosts[sent.to.host].answered(self.now);
+        }
     }
 
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
@@ -638,14 +650,16 @@
         let h = &mut r.hosts[sent.to.host];
         h.out = (h.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
-            h.last_answer = now;
+            h.answered(now);
         }
         match o.end {
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
             End::Full if cold => h.judge(now, false),
             End::Errored | End::NoConnection | End::Reset => h.judge(now, false),
-            End::TimedOut if !sent.withdrawn && h.last_answer < sent.at => h.judge(now, false),
+            End::TimedOut | End::Withdrawn if now >= sent.overdue && h.last_answer < sent.at => {
+                h.judge(now, false)
+            }
             _ => {}
         }
         let (ds, spent) = (&r.services[get.ds], o.spent.as_secs_f64());
@@ -699,7 +713,6 @@
         }
         if filled && !straight {
             r.hosts[sent.to.source].judge(now, true);
-            r.hosts[sent.to.source].last_answer = now;
         } else if source_failed && !straight && o.note != Note::OriginFailed {
             r.hosts[sent.to.source].judge(now, false);
         }
@@ -753,8 +766,7 @@
         self.r.hosts.get_mut(host).into_iter().for_each(|h| h.judge(self.now, reached));
     }
 
-    /// The wake-up. Withdraws overdue forwards from hosts that answer nobody, whatever silenced them. A slow
-    /// host keeps its forwards: a fill may run on after its client has left and be paid for twice.
+    /// The wake-up: running means, and GETs that have waited long enough.
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
@@ -769,21 +781,6 @@
             let h = &mut r.hosts[cache];
             h.out_mean += (h.out - h.out_mean) * SWEEP.div_duration_f64(MEAN_OVER);
         }
-        let most = r.site.most_forwards.min(MOST_FORWARDS);
-        for (place, g) in r.gets.iter_mut() {
-            let settled = g.answered || g.streaming || g.hops >= most;
-            let Some(sent) = g.out.as_mut().filter(|s| !settled && !s.withdrawn) else { continue };
-            let h = &mut r.hosts[sent.to.host];
-            let overdue = now >= sent.overdue || sent.at < h.failed_at;
-            if !overdue || h.last_answer >= sent.at || !r.services[g.get.ds].idempotent || !r.site.cancel {
-                continue;
-            }
-            sent.withdrawn = true;
-            if sent.at >= h.failed_at {
-                h.judge(now, false);
-            }
-            self.out.withdraw(place, sent.hop);
-        }
         self.release(|g| now >= g.waits_until);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,12 +9,13 @@
     pub entry: Entry,
     /// Last outcomes, newest in the lowest bit, 1 a failure.
     pub failures: u32,
-    pub failed_at: Duration,
     pub rests_until: Duration,
     /// Trials that failed since it last succeeded.
     pub trials: u32,
     pub last_success: Duration,
     pub last_answer: Duration,
+    /// When the first forward since the last answer is overdue.
+    pub due: Duration,
     pub cold_since: Duration,
     /// Forwards out there.
     pub out: f64,
@@ -64,7 +65,6 @@
     pub may_have_run: Option<(HostIndex, Duration)>,
     pub source_lacks: bool,
     pub answered: bool,
-    pub streaming: bool,
     /// Held for another GET's fill of the same object, until then at most.
     pub waiting: bool,
     pub waits_until: Duration,
