A source that answered nobody since a fill that ended unanswered is judged failed

Cause: where answers tell only hits a parent cut off from some locations was never judged, its fills just hung until clients left. Guards against silent and cut-off sources, however caused; hurts little under jams, since a crowded source answers somebody within a client's patience.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -711,9 +711,11 @@
         if hit && returned && get.size_kb > 0.0 {
             learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3), CROWDED);
         }
+        let silent = unfinished && r.hosts[sent.to.source].last_answer < sent.at;
         if filled && !straight {
             r.hosts[sent.to.source].judge(now, true);
-        } else if source_failed && !straight && o.note != Note::OriginFailed {
+            r.hosts[sent.to.source].answered(now);
+        } else if (source_failed && o.note != Note::OriginFailed || silent) && !straight {
             r.hosts[sent.to.source].judge(now, false);
         }
         let slow = if r.site.notes { wait > ds.objective * SLOW_PART } else { !in_time };
