A cache's room is learnt by the same count as its load; unused sources cost no budget

Cause: since others' forwards are a mean, room was still learnt as if each router had the same out: too large by up to the routers of the location.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -359,21 +359,18 @@
     fn slowness(&self, host: HostIndex) -> f64 {
         let h = &self.hosts[host];
         let told = if self.site.weights { h.entry.units } else { 0.0 };
-        crowd(
-            h.out + 1.0 + h.out_mean * (self.site.zone_routers - 1.0),
-            if h.room > 0.0 { h.room } else { told },
-        )
+        crowd(self.of_all(h.out, h.out_mean), if h.room > 0.0 { h.room } else { told })
     }
 
     /// The same for the location's link in, which all fills share: by its told size or as learnt.
     fn link_slowness(&self) -> f64 {
         let room = if self.site.link > 0.0 { self.site.link } else { self.link_room };
-        crowd(self.link_load(), room)
+        crowd(self.of_all(self.fills_out, self.fills_mean), room)
     }
 
-    /// Transfers on the location's link: this router's, and as many as it has on the mean for each other one.
-    fn link_load(&self) -> f64 {
-        self.fills_out + 1.0 + self.fills_mean * (self.site.zone_routers - 1.0)
+    /// Transfers with one more: this router's, and as many as it has on the mean for each other one here.
+    fn of_all(&self, out: f64, mean: f64) -> f64 {
+        out + 1.0 + mean * (self.site.zone_routers - 1.0)
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
@@ -521,7 +518,7 @@
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
         let late = fill && sending * link > within;
         let source = origin.map(|origin| (origin, false));
-        let source = source.or_else(|| r.source(place, work, fill, within, now).filter(|_| !late));
+        let source = source.or_else(|| if late { None } else { r.source(place, work, fill, within, now) });
         // No fill would be in time: the cache is asked for what it holds, once.
         let look = chosen.filter(|_| source.is_none() && !write && !r.gets[place].source_lacks);
         let source = source.or(look.map(|host| (host, false)));
@@ -674,7 +671,7 @@
         r.fills_out -= fills;
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
         if filled && returned && (r.site.notes || sending > ds.objective * LONG) {
-            let transfers = r.link_load();
+            let transfers = r.of_all(r.fills_out, r.fills_mean);
             learn_room(
                 &mut r.link_room,
                 transfers,
@@ -692,6 +689,8 @@
             let least = (FILLS_LEAST / r.sharers(&r.hosts[sent.to.source].entry)).max(OWN_LEAST);
             r.hosts[sent.to.source].bound_fills(in_time && filled, least, now);
         }
+        let h = &r.hosts[sent.to.host];
+        let there = r.of_all(h.out, h.out_mean);
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if returned {
@@ -709,7 +708,7 @@
             learnt.sending = blended(learnt.sending, seen);
         }
         if hit && returned && get.size_kb > 0.0 {
-            learn_room(&mut h.room, (h.out + 1.0) * r.site.zone_routers, sending / spent.max(1e-3), CROWDED);
+            learn_room(&mut h.room, there, sending / spent.max(1e-3), CROWDED);
         }
         let silent = unfinished && r.hosts[sent.to.source].last_answer < sent.at;
         if filled && !straight {
