--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,6 @@
 /// slow or failed fills are this part (one in so many) of a window's fills when the origin, not chance, is
 /// slow.
 const BUSY_PART: u32 = 4;
-/// latency objectives that a source may take to its first byte: under one, far parents are slow by nature.
-const SLOW_PART: f64 = 1.0;
 /// points on the ring for a host of mean size; evens parts out to a tenth, stays in the processor's cache.
 const RING_POINTS: f64 = 96.0;
 /// outcomes by which a host is judged, half of them successes: few, to find a dead one in time.
@@ -53,9 +51,6 @@
 const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
 const SMALLEST: f64 = 0.6;
-/// share of the latency objective that a source's wait may take off: a slow origin must not hide what parents
-/// hold.
-const WAIT_PART: f64 = 0.33;
 /// share of the time left for the latency objective that a GET is sent within: room for what comes after it.
 const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
@@ -71,9 +66,8 @@
 const RISE: f64 = 0.03;
 /// latency objectives that a sending time must take for a wait not told to be small beside it.
 const LONG: f64 = 0.5;
-/// share of the latency objective taken for the sending time, and share of misses, until some are seen.
+/// share of the latency objective taken for the sending time until some are seen.
 const SENDING_FIRST: f64 = 0.25;
-const MISSES_FIRST: f64 = 0.5;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
 /// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble
@@ -215,12 +209,8 @@
 impl Router {
     pub fn new(told: &Values, seed: u64) -> Result<Self, String> {
         let (site, services) = (Footprint::read(told)?, DeliveryService::read_all(told)?);
-        let learnt = |ds: &DeliveryService| Learnt {
-            accepted_age: ds.fresh,
-            sending: ds.objective * SENDING_FIRST,
-            misses: MISSES_FIRST,
-            wait: 0.0,
-        };
+        let learnt =
+            |ds: &DeliveryService| Learnt { accepted_age: ds.fresh, sending: ds.objective * SENDING_FIRST };
         Ok(Self {
             learnt: services.iter().map(learnt).collect(),
             follow_at: if site.ask_list { ZERO } else { Duration::MAX },
@@ -397,15 +387,9 @@
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
     /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it.
-    fn source(
-        &mut self,
-        place: Place,
-        work: f64,
-        fill: bool,
-        within: f64,
-        now: Duration,
-    ) -> Option<(HostIndex, bool)> {
-        let InHand { key, tried: [_, tried], sending, .. } = self.gets[place];
+    fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
+        let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
+        let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
         let room = |h: &Host| !fill || h.fills_out < h.fill_limit && sending * h.fill_pace(now) <= within;
         let mut full = None;
@@ -497,7 +481,7 @@
         let (get, key, sending, tried, hops) = (g.get, g.key, g.sending, g.tried, g.hops);
         let left = (g.taken + get.viewer_timeout).saturating_sub(now);
         let ds = &r.services[get.ds];
-        let (write, work) = (ds.write, r.learnt[get.ds].sending * r.learnt[get.ds].misses);
+        let write = ds.write;
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
         let hopeless = left <= r.site.tick * 2 || get.size_kb > 0.0 && left.as_secs_f64() < sending;
         if hopeless || hops >= r.site.most_forwards.min(MOST_FORWARDS) {
@@ -509,8 +493,7 @@
             return;
         }
         let link = if fill { r.link_slowness() } else { 1.0 };
-        let wait = if fill { r.learnt[get.ds].wait.min(ds.objective * WAIT_PART) } else { 0.0 };
-        let within = if write { f64::INFINITY } else { ((objective - wait) * IN_TIME).max(sending) };
+        let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
         let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
         if chosen.is_none() && any {
             return self.give_up(place);
@@ -518,7 +501,7 @@
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
         let late = fill && sending * link > within;
         let source = origin.map(|origin| (origin, false));
-        let source = source.or_else(|| if late { None } else { r.source(place, work, fill, within, now) });
+        let source = source.or_else(|| if late { None } else { r.source(place, fill, within, now) });
         // No fill would be in time: the cache is asked for what it holds, once.
         let look = chosen.filter(|_| source.is_none() && !write && !r.gets[place].source_lacks);
         let source = source.or(look.map(|host| (host, false)));
@@ -671,13 +654,8 @@
         r.fills_out -= fills;
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
         if filled && returned && (r.site.notes || sending > ds.objective * LONG) {
-            let transfers = r.of_all(r.fills_out, r.fills_mean);
-            learn_room(
-                &mut r.link_room,
-                transfers,
-                sending / (spent - wait).max(1e-3),
-                if r.site.notes { CROWDED } else { JAMMED },
-            );
+            let (transfers, pace) = (r.of_all(r.fills_out, r.fills_mean), sending / (spent - wait).max(1e-3));
+            learn_room(&mut r.link_room, transfers, pace, if r.site.notes { CROWDED } else { JAMMED });
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
         let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
@@ -695,8 +673,6 @@
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
-            learnt.misses = blended(learnt.misses, f64::from(u8::from(!hit)));
-            learnt.wait = if filled { blended(learnt.wait, wait) } else { learnt.wait };
             r.seen.set(key, now);
         }
         if get.size_kb == 0.0 && returned {
@@ -717,7 +693,7 @@
         } else if (source_failed && o.note != Note::OriginFailed || silent) && !straight {
             r.hosts[sent.to.source].judge(now, false);
         }
-        let slow = if r.site.notes { wait > ds.objective * SLOW_PART } else { !in_time };
+        let slow = if r.site.notes { wait > ds.objective } else { !in_time };
         let bad = filled && slow || source_failed;
         let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.to.source) == r.origin;
         let from_origin = if r.site.notes { by_origin } else { filled };
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,9 +74,6 @@
 pub struct Learnt {
     /// The design's accepted age; rests at the fresh time.
     pub accepted_age: Duration,
-    /// Mean sending time, s, and mean share of misses.
+    /// Mean sending time, s.
     pub sending: f64,
-    pub misses: f64,
-    /// Mean time to a source's first byte, s, where notes tell.
-    pub wait: f64,
 }
