--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
 use crate::ring::{Memory, Ring, Window, mix};
-use crate::state::{Host, InHand, Learnt, Sent};
+use crate::state::{Crowd, Host, InHand, Learnt, Sent};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -107,11 +107,8 @@
     seen: Memory<Duration>,
     /// By object, where sizes are untold, the sending time of a part as learnt, s.
     sizes: Memory<f64>,
-    /// Transfers that the location's link fits, as learnt.
-    link_room: f64,
-    /// This router's probable fills out, and their mean lately.
-    fills_out: f64,
-    fills_mean: f64,
+    /// The location's link in: probable fills out, their mean, the room as learnt.
+    link: Crowd,
     /// Work that a warm cache gets from this router, s a second, and what was sent since the last wake-up.
     carried: f64,
     sent_work: f64,
@@ -120,18 +117,30 @@
     follow_at: Duration,
 }
 
-/// Times its full time that a transfer takes beside others on a link; 1 where its room is not known.
-fn crowd(transfers: f64, room: f64) -> f64 {
-    if room > 0.0 { (transfers / room).max(1.0) } else { 1.0 }
-}
+impl Crowd {
+    /// Transfers with one more: this router's, and as many as it has on the mean for each other one here.
+    fn all(&self, others: f64) -> f64 {
+        self.out + 1.0 + self.mean * others
+    }
+
+    /// Times its full time that a transfer takes among these, by the room as learnt or told; 1 where neither is.
+    fn slowness(&self, others: f64, told: f64) -> f64 {
+        let room = if self.room > 0.0 { self.room } else { told };
+        if room > 0.0 { (self.all(others) / room).max(1.0) } else { 1.0 }
+    }
+
+    /// Learns from the pace of a transfer what the link fits: at once while it is full, slowly more while not.
+    fn learn(&mut self, others: f64, pace: f64, crowded: f64) {
+        let fits = (self.all(others) * pace).max(1.0);
+        if pace < crowded {
+            self.room = if self.room > 0.0 { blended(self.room, fits) } else { fits };
+        } else if self.room > 0.0 && pace > CROWDED && fits > self.room {
+            self.room += RISE * (fits - self.room);
+        }
+    }
 
-/// Learns what a link fits from the pace of a transfer while it was full.
-fn learn_room(room: &mut f64, transfers: f64, pace: f64, crowded: f64) {
-    let fits = (transfers * pace).max(1.0);
-    if pace < crowded {
-        *room = if *room > 0.0 { blended(*room, fits) } else { fits };
-    } else if *room > 0.0 && pace > CROWDED && fits > *room {
-        *room += RISE * (fits - *room);
+    fn pass(&mut self) {
+        self.mean += (self.out - self.mean) * SWEEP.div_duration_f64(MEAN_OVER);
     }
 }
 
@@ -181,8 +190,8 @@
     /// and no answer since, is passed by at once, whatever silences it; what is out there is late already and
     /// stays, for a fill may run on after its client has left and be paid for twice.
     fn usable(&self, now: Duration) -> bool {
-        let silent = self.out > 0.0 && now >= self.due;
-        self.on() && !silent && (!self.failed() || now >= self.rests_until && self.out == 0.0)
+        let silent = self.crowd.out > 0.0 && now >= self.due;
+        self.on() && !silent && (!self.failed() || now >= self.rests_until && self.crowd.out == 0.0)
     }
 
     fn answered(&mut self, now: Duration) {
@@ -227,9 +236,7 @@
             purges: BTreeMap::new(),
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
-            link_room: 0.0,
-            fills_out: 0.0,
-            fills_mean: 0.0,
+            link: Crowd::default(),
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
@@ -302,7 +309,7 @@
     /// again. It hurts where the neighbours are overloaded while the cold host could do more.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
-        let carried = self.carried * self.site.zone_routers * SMALLEST;
+        let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
         let (start, part) = (self.start(entry), mix(key ^ entry.mark) as f64 / u64::MAX as f64);
@@ -344,23 +351,10 @@
         if accepted == ZERO { limit } else { limit.min(accepted) }
     }
 
-    /// Times its sending time that a GET takes at a cache: what is out there over what its link fits, as
-    /// learnt while it was crowded or by its weight.
+    /// Times its sending time that a GET takes at a cache.
     fn slowness(&self, host: HostIndex) -> f64 {
-        let h = &self.hosts[host];
-        let told = if self.site.weights { h.entry.units } else { 0.0 };
-        crowd(self.of_all(h.out, h.out_mean), if h.room > 0.0 { h.room } else { told })
-    }
-
-    /// The same for the location's link in, which all fills share: by its told size or as learnt.
-    fn link_slowness(&self) -> f64 {
-        let room = if self.site.link > 0.0 { self.site.link } else { self.link_room };
-        crowd(self.of_all(self.fills_out, self.fills_mean), room)
-    }
-
-    /// Transfers with one more: this router's, and as many as it has on the mean for each other one here.
-    fn of_all(&self, out: f64, mean: f64) -> f64 {
-        out + 1.0 + mean * (self.site.zone_routers - 1.0)
+        let told = if self.site.weights { self.hosts[host].entry.units } else { 0.0 };
+        self.hosts[host].crowd.slowness(self.site.neighbours, told)
     }
 
     /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
@@ -492,7 +486,7 @@
             r.gets[place].waiting = true;
             return;
         }
-        let link = if fill { r.link_slowness() } else { 1.0 };
+        let link = if fill { r.link.slowness(r.site.neighbours, r.site.link) } else { 1.0 };
         let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
         let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
         if chosen.is_none() && any {
@@ -530,14 +524,14 @@
         let patience = (objective - sending).max(sending * slowness * PATIENT + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
         let h = &mut r.hosts[host];
-        h.due = if h.out > 0.0 { h.due.min(overdue) } else { overdue };
-        h.out += 1.0;
+        h.due = if h.crowd.out > 0.0 { h.due.min(overdue) } else { overdue };
+        h.crowd.out += 1.0;
         let g = &mut r.gets[place];
         g.waiting = false;
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
         let fills = f64::from(u8::from(fill));
         r.hosts[forward.source].fills_out += fills;
-        r.fills_out += fills;
+        r.link.out += fills;
         g.hops += 1;
         self.out.forward(place, &forward);
     }
@@ -628,7 +622,7 @@
             || !r.site.notes && matches!(o.end, End::Errored | End::Full);
         let (cold, slowness) = (r.warmth(sent.to.host, now).is_some(), r.slowness(sent.to.host));
         let h = &mut r.hosts[sent.to.host];
-        h.out = (h.out - 1.0).max(0.0);
+        h.crowd.out = (h.crowd.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
             h.answered(now);
         }
@@ -651,11 +645,12 @@
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
         let fills = f64::from(u8::from(sent.fill));
         r.hosts[sent.to.source].fills_out -= fills;
-        r.fills_out -= fills;
+        r.link.out -= fills;
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
-        if filled && returned && (r.site.notes || sending > ds.objective * LONG) {
-            let (transfers, pace) = (r.of_all(r.fills_out, r.fills_mean), sending / (spent - wait).max(1e-3));
-            learn_room(&mut r.link_room, transfers, pace, if r.site.notes { CROWDED } else { JAMMED });
+        let tells = r.site.link == 0.0 && (r.site.notes || sending > ds.objective * LONG);
+        if filled && returned && tells {
+            let pace = sending / (spent - wait).max(1e-3);
+            r.link.learn(r.site.neighbours, pace, if r.site.notes { CROWDED } else { JAMMED });
         }
         let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
         let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
@@ -667,8 +662,6 @@
             let least = (FILLS_LEAST / r.sharers(&r.hosts[sent.to.source].entry)).max(OWN_LEAST);
             r.hosts[sent.to.source].bound_fills(in_time && filled, least, now);
         }
-        let h = &r.hosts[sent.to.host];
-        let there = r.of_all(h.out, h.out_mean);
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if returned {
@@ -684,7 +677,7 @@
             learnt.sending = blended(learnt.sending, seen);
         }
         if hit && returned && get.size_kb > 0.0 {
-            learn_room(&mut h.room, there, sending / spent.max(1e-3), CROWDED);
+            h.crowd.learn(r.site.neighbours, sending / spent.max(1e-3), CROWDED);
         }
         let silent = unfinished && r.hosts[sent.to.source].last_answer < sent.at;
         if filled && !straight {
@@ -722,7 +715,7 @@
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                (h.failures, h.trials, h.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
+                (h.failures, h.trials, h.crowd.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
             }
             h.entry = *entry;
             h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { first };
@@ -753,11 +746,8 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
         }
-        r.fills_mean += (r.fills_out - r.fills_mean) * SWEEP.div_duration_f64(MEAN_OVER);
-        for cache in r.caches.members() {
-            let h = &mut r.hosts[cache];
-            h.out_mean += (h.out - h.out_mean) * SWEEP.div_duration_f64(MEAN_OVER);
-        }
+        r.link.pass();
+        r.caches.members().for_each(|cache| r.hosts[cache].crowd.pass());
         self.release(|g| now >= g.waits_until);
     }
 
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -39,7 +39,8 @@
     pub parent_kind: Option<usize>,
     pub origin_kind: usize,
     pub routers: f64,
-    pub zone_routers: f64,
+    /// Other routers at this location.
+    pub neighbours: f64,
     /// Kilobytes a second of one transfer to a client.
     pub flow: f64,
     /// Such transfers that the location's link in fits; 0: not told.
@@ -107,7 +108,7 @@
             parent_kind: Some(number(told, "domain.shield_kind")?).filter(|&k| k >= 0.0).map(|k| k as usize),
             origin_kind: number(told, "domain.master_kind")? as usize,
             routers,
-            zone_routers,
+            neighbours: zone_routers - 1.0,
             flow,
             link: number(told, &format!("domain.feed_kb_per_s.{zone}")).unwrap_or(0.0) / flow,
             joins: flag(told, "domain.shares_fills"),
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,12 +17,8 @@
     /// When the first forward since the last answer is overdue.
     pub due: Duration,
     pub cold_since: Duration,
-    /// Forwards out there.
-    pub out: f64,
-    /// Mean of those lately.
-    pub out_mean: f64,
-    /// Transfers that its link fits, as learnt; 0: not yet.
-    pub room: f64,
+    /// Forwards out there, and what its link fits.
+    pub crowd: Crowd,
     /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
     pub fills_out: f64,
     pub fill_limit: f64,
@@ -36,6 +32,14 @@
     pub spent_at: Duration,
 }
 
+/// What this router has out on a link, its mean lately, and the transfers that fit, as learnt; 0: not yet.
+#[derive(Clone, Default)]
+pub struct Crowd {
+    pub out: f64,
+    pub mean: f64,
+    pub room: f64,
+}
+
 /// One forward that is out.
 #[derive(Clone, Copy)]
 pub struct Sent {
