--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,13 +70,11 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out together at the start, and at least: enough for the first seconds, and to notice that a trouble
-/// is over.
-const FILLS_FIRST: f64 = 128.0;
+/// fills out together that are let be, all routers of a source together and each one at least: enough to notice
+/// that a trouble is over; and times as many at the start.
 const FILLS_LEAST: f64 = 8.0;
-/// the same two for one router at least, however many share the source.
-const OWN_FIRST: f64 = 4.0;
 const OWN_LEAST: f64 = 1.0;
+const FILLS_FIRST: f64 = 4.0;
 /// share of the bound that is in use when a fill in time raises it by one.
 const FILLS_USED: f64 = 0.5;
 /// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
@@ -160,12 +158,12 @@
     /// Bounds the fills out together from one source by whether they come in time: guards the location's
     /// link, parents and the origin, whatever slows them. It hurts where a slow cache spoils a good source's
     /// count.
-    fn bound_fills(&mut self, in_time: bool, least: f64, now: Duration) {
+    fn bound_fills(&mut self, in_time: bool, now: Duration) {
         if in_time {
             let used = self.fills_out >= self.fill_limit * FILLS_USED;
             self.fill_limit += if used { 1.0 } else { 0.0 };
         } else if now >= self.fills_cut_at + FILLS_CUT_EVERY {
-            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(least);
+            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(self.fill_least);
             self.fills_cut_at = now;
         }
     }
@@ -285,11 +283,6 @@
         self.site.hub_of.get(entry.zone) == self.site.hub_of.get(self.site.zone)
     }
 
-    /// Routers that fill from a source.
-    fn sharers(&self, entry: &Entry) -> f64 {
-        if self.parental(entry) { self.site.parent_start.routers } else { self.site.routers }
-    }
-
     fn start(&self, entry: &Entry) -> &ColdStart {
         if self.parental(entry) { &self.site.parent_start } else { &self.site.cache_start }
     }
@@ -659,8 +652,7 @@
             r.hosts[sent.to.source].learn_pace(spent, sending, now);
         }
         if !sent.to.held_only && (filled && returned || failed) {
-            let least = (FILLS_LEAST / r.sharers(&r.hosts[sent.to.source].entry)).max(OWN_LEAST);
-            r.hosts[sent.to.source].bound_fills(in_time && filled, least, now);
+            r.hosts[sent.to.source].bound_fills(in_time && filled, now);
         }
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         let hit = matches!(o.note, Note::Hit | Note::Stale);
@@ -711,14 +703,15 @@
             if r.hosts.len() <= entry.host {
                 r.hosts.resize(entry.host + 1, Host::default());
             }
-            let first = (FILLS_FIRST / r.sharers(entry)).max(OWN_FIRST);
+            let sharers = if r.parental(entry) { r.site.parent_start.routers } else { r.site.routers };
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
                 (h.failures, h.trials, h.crowd.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
             }
             h.entry = *entry;
-            h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { first };
+            h.fill_least = (FILLS_LEAST / sharers).max(OWN_LEAST);
+            h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { h.fill_least * FILLS_FIRST };
         }
         let cache = |r: &Router, e: &Entry| !r.parental(e) && e.kind != r.site.origin_kind;
         r.caches = r.ring(|r, e| e.zone == r.site.zone && cache(r, e));
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,9 +19,10 @@
     pub cold_since: Duration,
     /// Forwards out there, and what its link fits.
     pub crowd: Crowd,
-    /// Forwards out that are probably fills from there, how many may be, and when that was last cut.
+    /// Forwards out that are probably fills from there, how many may be and are always let be, and when that was last cut.
     pub fills_out: f64,
     pub fill_limit: f64,
+    pub fill_least: f64,
     pub fills_cut_at: Duration,
     /// Times their sending time that fills from there took, the mean sending time of those, and the last one.
     pub pace: f64,
