Dead ends of the interface taken out; the bound rises when it is reached

Nothing asks for probes, so the writer's probe and the call for its answer go; what is read of a Sampled is skipped.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 mod write;
 
 use myrtlegauge::decide::{Round, Router};
-use myrtlegauge::interface::{Get, ListKind, Load, Outcome, Values};
+use myrtlegauge::interface::{Get, ListKind, Outcome, Values};
 use read::{Envelope, body, duration};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -200,14 +200,8 @@
             let m: read::ExpiredNow = body(number, name, text)?;
             round.purged(m.set_no, m.item, duration(m.oldness_ms));
         }
-        "Sampled" => {
-            let m: read::Sampled = body(number, name, text)?;
-            let host = round.desk().host(&m.host);
-            let load: Load = read::load(&m.gauge);
-            round.sampled(host, m.result == 0, &load);
-        }
         "DeadlineHit" => round.woken(),
-        "Peer" => {}
+        "Peer" | "Sampled" => {}
         other => return Err(format!("line {number}: unknown message {other}")),
     }
     Ok(())
--- a/crates/benchlink/src/read.rs
+++ b/crates/benchlink/src/read.rs
@@ -160,15 +160,6 @@
     pub set_no: u64,
 }
 
-#[derive(Deserialize)]
-pub struct Sampled<'a> {
-    #[serde(borrow)]
-    pub host: Cow<'a, str>,
-    pub result: u32,
-    #[serde(borrow, default)]
-    pub gauge: BTreeMap<Cow<'a, str>, f64>,
-}
-
 pub fn load(gauge: &BTreeMap<Cow<'_, str>, f64>) -> Load {
     let told = |name: &str| gauge.get(name).copied();
     Load { util: told("cpu_share"), in_hand: told("busy_reqs"), link_fill: told("x1"), hit_share: told("x0") }
--- a/crates/benchlink/src/write.rs
+++ b/crates/benchlink/src/write.rs
@@ -112,11 +112,6 @@
         self.lines.write("Timer", format_args!(",\"from_now_ms\":{},\"label\":\"wake\"", ms(after)));
     }
 
-    fn probe(&mut self, host: HostIndex) {
-        let host = &self.hosts[host];
-        self.lines.write("AskLoad", format_args!(",\"host\":\"{host}\""));
-    }
-
     fn follow_list(&mut self) {
         self.lines.write("Tail", format_args!(",\"on\":true"));
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,8 +75,6 @@
 const FILLS_LEAST: f64 = 8.0;
 const OWN_LEAST: f64 = 1.0;
 const FILLS_FIRST: f64 = 4.0;
-/// share of the bound that is in use when a fill in time raises it by one.
-const FILLS_USED: f64 = 0.5;
 /// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
 const FILLS_CUT: f64 = 0.8;
 const FILLS_CUT_EVERY: Duration = Duration::from_millis(250);
@@ -160,8 +158,7 @@
     /// count.
     fn bound_fills(&mut self, in_time: bool, now: Duration) {
         if in_time {
-            let used = self.fills_out >= self.fill_limit * FILLS_USED;
-            self.fill_limit += if used { 1.0 } else { 0.0 };
+            self.fill_limit += if self.fills_out + 1.0 >= self.fill_limit { 1.0 } else { 0.0 };
         } else if now >= self.fills_cut_at + FILLS_CUT_EVERY {
             self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(self.fill_least);
             self.fills_cut_at = now;
@@ -725,10 +722,6 @@
         *known = at.max(*known);
     }
 
-    pub fn sampled(&mut self, host: HostIndex, reached: bool, _load: &Load) {
-        self.r.hosts.get_mut(host).into_iter().for_each(|h| h.judge(self.now, reached));
-    }
-
     /// The wake-up: running means, and GETs that have waited long enough.
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -131,7 +131,6 @@
     /// Nothing more will be said of this GET; its place may be reused.
     fn settled(&mut self, get: Place);
     fn wake(&mut self, after: Duration);
-    fn probe(&mut self, host: HostIndex);
     /// Follow the list of hosts from now on.
     fn follow_list(&mut self);
     fn log(&mut self, line: std::fmt::Arguments<'_>);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -99,10 +99,6 @@
 
     fn wake(&mut self, _after: Duration) {}
 
-    fn probe(&mut self, host: HostIndex) {
-        self.line(format_args!("probe {}", name(host)));
-    }
-
     fn follow_list(&mut self) {
         self.line(format_args!("follow the list"));
     }
