--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 //! stale copies and lets fresh hits be renewed. Beside it stand six mechanisms:
 //! 1. health: a host is judged by the successes among its last few outcomes, silence included;
 //! 2. cold-start budget: a host that started lately gets a growing share of its part, within a budget;
-//! 3. fill source: the ring's parent, or the next that is well; a fill that is out is waited for;
+//! 3. fill source: the ring's parent, or the next that is well, with fills bounded; else a look at the cache;
 //! 4. silence and further forwards: a host with an overdue forward and no answer since is passed by;
 //! 5. load bound: what would be late goes on along the ring or is shed; late fills bound their source;
 //! 6. keep rank: an object seen again outranks one seen once.
@@ -70,8 +70,8 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out together that are let be, all routers of a source together and each one at least: enough to notice
-/// that a trouble is over; and times as many at the start.
+/// fills out together that are always let be, of all routers of a source and of each one: enough to notice that
+/// a trouble is over; and times as many at the start.
 const FILLS_LEAST: f64 = 8.0;
 const OWN_LEAST: f64 = 1.0;
 const FILLS_FIRST: f64 = 4.0;
@@ -119,13 +119,13 @@
         self.out + 1.0 + self.mean * others
     }
 
-    /// Times its full time that a transfer takes among these, by the room as learnt or told; 1 where neither is.
+    /// Times its full time that a transfer takes among these, by the room as learnt or told; 1 by neither.
     fn slowness(&self, others: f64, told: f64) -> f64 {
         let room = if self.room > 0.0 { self.room } else { told };
         if room > 0.0 { (self.all(others) / room).max(1.0) } else { 1.0 }
     }
 
-    /// Learns from the pace of a transfer what the link fits: at once while it is full, slowly more while not.
+    /// Learns from a transfer's pace what the link fits: at once while it is full, slowly more while not.
     fn learn(&mut self, others: f64, pace: f64, crowded: f64) {
         let fits = (self.all(others) * pace).max(1.0);
         if pace < crowded {
@@ -409,14 +409,6 @@
         let since = self.purged_at(&g.get).unwrap_or(ZERO).max(now.saturating_sub(HELD));
         self.seen.get(g.key).is_some_and(|at| at > since)
     }
-
-    /// A first fill of the same object is out and GETs can't join it: waiting spares the links and the origin
-    /// the same bytes. Holds against any rush for what no cache has: a purge, a new hot object, a cold cache.
-    fn waits(&self, g: &InHand, now: Duration) -> bool {
-        let fills =
-            |other: &InHand| other.key == g.key && other.out.is_some_and(|s| !s.withdrawn && now < s.overdue);
-        !self.site.joins && now < g.waits_until && self.gets.iter().any(|(_, other)| fills(other))
-    }
 }
 
 pub struct Round<'a, D: Dispatch> {
@@ -438,21 +430,18 @@
 
     pub fn take(&mut self, get: Get) {
         let r = &mut *self.r;
-        let (Some(ds), Some(learnt)) = (r.services.get(get.ds), r.learnt.get_mut(get.ds)) else {
+        let Some(learnt) = r.learnt.get_mut(get.ds) else {
             self.out.error(r.gets.vacant_key());
             return self.out.settled(r.gets.vacant_key());
         };
         let (object, told) = (mix(get.object), (get.size_kb > 0.0).then_some(get.size_kb / r.site.flow));
         let sending = told.or_else(|| r.sizes.get(object)).unwrap_or(learnt.sending);
         learnt.sending = told.map_or(learnt.sending, |told| blended(learnt.sending, told));
-        let spare = ds.objective + (ds.stretch - 1.0) * sending - PATIENCE;
-        let half = (get.viewer_timeout / 2).saturating_sub(SWEEP);
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
             key: mix(object ^ mix(u64::from(get.part) + 1)),
             sending,
-            waits_until: self.now + Duration::from_secs_f64(spare.max(0.0)).min(half),
             ..InHand::default()
         });
         self.decide(place);
@@ -472,10 +461,6 @@
             return self.give_up(place);
         }
         let fill = !write && !r.held(&r.gets[place], now);
-        if fill && r.waits(&r.gets[place], now) {
-            r.gets[place].waiting = true;
-            return;
-        }
         let link = if fill { r.link.slowness(r.site.neighbours, r.site.link) } else { 1.0 };
         let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
         let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
@@ -517,7 +502,6 @@
         h.due = if h.crowd.out > 0.0 { h.due.min(overdue) } else { overdue };
         h.crowd.out += 1.0;
         let g = &mut r.gets[place];
-        g.waiting = false;
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
         let fills = f64::from(u8::from(fill));
         r.hosts[forward.source].fills_out += fills;
@@ -563,14 +547,6 @@
         }
     }
 
-    /// The answer of a streamed delivery service has begun: the client has it, no deadline counts.
-    pub fn started(&mut self, place: Place, hop: u32) {
-        let g = self.r.gets.get_mut(place);
-        if let Some(sent) = g.and_then(|g| g.out.filter(|s| s.hop == hop)) {
-            self.r.hosts[sent.to.host].answered(self.now);
-        }
-    }
-
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
         let Some(g) = self.r.gets.get_mut(place) else { return };
         let Some(sent) = g.out.take_if(|s| s.hop == o.hop) else { return };
@@ -592,17 +568,6 @@
         } else {
             self.give_up(place);
         }
-        self.release(|g| g.key == key);
-    }
-
-    /// Decides anew on GETs that waited for a fill.
-    fn release(&mut self, free: impl Fn(&InHand) -> bool) {
-        for place in 0..self.r.gets.capacity() {
-            if self.r.gets.get(place).is_some_and(|g| g.waiting && free(g)) {
-                self.r.gets[place].waiting = false;
-                self.decide(place);
-            }
-        }
     }
 
     /// What an outcome tells of the host, the source and the origin.
@@ -722,7 +687,7 @@
         *known = at.max(*known);
     }
 
-    /// The wake-up: running means, and GETs that have waited long enough.
+    /// The wake-up: running means.
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
         r.waking = false;
@@ -734,7 +699,6 @@
         }
         r.link.pass();
         r.caches.members().for_each(|cache| r.hosts[cache].crowd.pass());
-        self.release(|g| now >= g.waits_until);
     }
 
     /// Closes a round: the design's return to idle, purges that all have obeyed, the next wake-up.
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,9 +70,6 @@
     pub may_have_run: Option<(HostIndex, Duration)>,
     pub source_lacks: bool,
     pub answered: bool,
-    /// Held for another GET's fill of the same object, until then at most.
-    pub waiting: bool,
-    pub waits_until: Duration,
 }
 
 /// What a router has learnt of a delivery service.
