--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,8 +70,8 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out together that are always let be, of all routers of a source and of each one: enough to notice that
-/// a trouble is over; and times as many at the start.
+/// fills out together that are always let be, of all routers of a source and of each one: enough to notice
+/// that a trouble is over; and times as many at the start.
 const FILLS_LEAST: f64 = 8.0;
 const OWN_LEAST: f64 = 1.0;
 const FILLS_FIRST: f64 = 4.0;
