--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,8 +47,8 @@
 const PATIENT: f64 = 2.0;
 /// forwards for one GET; a third failure says that the trouble is not one host's.
 const MOST_FORWARDS: u32 = 3;
-/// share of a cold host's budget that the routers together use; the rest is for chance and late lists.
-const BUDGET_PART: f64 = 0.75;
+/// share of what pushes a cold host over: a burst and what drains meanwhile make twice it in one span.
+const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
 const SMALLEST: f64 = 0.6;
 /// share of the time left for the latency objective that a GET is sent within: room for what comes after it.
