--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,6 +4,7 @@
 
 use common::{CACHES, Day, ORIGIN, PARENTS, entry, ms, settings};
 use insta::assert_snapshot;
+use myrtlegauge::decide::Router;
 use myrtlegauge::interface::*;
 use serde_json::json;
 
@@ -250,3 +251,136 @@
     }
     assert_snapshot!(day.trace.lines);
 }
+
+#[test]
+fn what_no_source_fills_in_time_is_looked_for_at_its_cache_once() {
+    let mut day = Day::new(settings());
+    for object in 0..40 {
+        let get = day.take(0, object);
+        day.now += ms(300);
+        day.end(get, 0, End::Returned, Note::Filled, 2500);
+    }
+    day.trace = Default::default();
+    day.trace.say("fills took twenty-five times their sending time: a hit is returned, a miss shed");
+    for (end, note) in [(End::Returned, Note::Hit), (End::Miss, Note::Untold)] {
+        let get = day.take(0, 100);
+        day.end(get, 0, end, note, 100);
+    }
+    day.trace.say("the pace is half forgotten in 2 s, so that fills are tried again");
+    day.after(20_000);
+    day.take(0, 101);
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_parent_whose_fills_hang_is_left_though_caches_answer() {
+    let mut day = Day::new(settings());
+    for object in 0..24 {
+        let get = day.take(0, object);
+        let hangs = day.trace.last.unwrap().source == PARENTS[0];
+        let hit = day.take(1, 1000 + object);
+        day.now += ms(100);
+        day.end(hit, 0, End::Returned, Note::Hit, 100);
+        day.now += ms(2400);
+        day.round(|round| round.abandoned(get));
+        day.end(get, 0, if hangs { End::Withdrawn } else { End::Returned }, Note::Filled, 2500);
+    }
+    day.trace = Default::default();
+    day.now += ms(1);
+    for object in 100..110 {
+        day.take(1, object);
+    }
+    assert!(!day.trace.lines.contains("parent 3"));
+    assert_snapshot!(day.trace.lines);
+}
+
+#[test]
+fn a_preempted_cache_its_death_and_its_cold_replacement() {
+    let mut day = Day::new(settings());
+    day.trace.say("listed as draining");
+    day.list(ListKind::Changes, &[Entry { standing: Standing::Draining, ..entry(0) }]);
+    let mut to = |day: &mut Day, host| {
+        let before = day.trace.sent.iter().filter(|&&h| h == host).count();
+        for object in 0..60 {
+            let get = day.take(1, object);
+            day.end(get, 0, End::Returned, Note::Hit, 50);
+        }
+        day.trace.sent.iter().filter(|&&h| h == host).count() - before
+    };
+    assert_eq!(to(&mut day, 0), 0);
+    let (gone, new) =
+        (Entry { standing: Standing::Gone, ..entry(0) }, Entry { zone: 1, kind: 0, units: 4.0, ..entry(6) });
+    day.list(ListKind::Changes, &[gone, Entry { started: day.now, ..new }]);
+    let cold = to(&mut day, 6);
+    day.after(18_000);
+    let warm = to(&mut day, 6);
+    assert!(0 < cold && cold < warm, "of 60 GETs {cold} go to the cold replacement, {warm} once it is warm");
+}
+
+#[test]
+fn an_ageing_cache_is_passed_by_as_it_slows_and_its_return_is_cold() {
+    let mut told = settings();
+    told["weights"] = json!("silent");
+    let mut day = Day::new(told);
+    let share = |day: &mut Day, spent: u64, end: End| {
+        let mut sent = 0;
+        for object in 0..60 {
+            day.now += ms(20);
+            let get = day.take(0, object);
+            let old = day.trace.last.unwrap().host == 0;
+            sent += u32::from(old);
+            day.end(get, 0, if old { end } else { End::Returned }, Note::Hit, if old { spent } else { 100 });
+            day.end(get, 1, End::Returned, Note::Hit, 100);
+        }
+        sent
+    };
+    let counts = [
+        ("at full pace", share(&mut day, 100, End::Returned)),
+        ("ten times slower", share(&mut day, 1000, End::Returned)),
+        ("dead", share(&mut day, 1, End::Reset)),
+    ];
+    let told = counts.map(|(when, sent)| format!("{when}: {sent} of 60 GETs")).join("\n");
+    assert_snapshot!(told);
+}
+
+#[test]
+fn hosts_that_restart_together_get_their_budgets_and_no_more() {
+    let (cache, other) = (work_to([0, 1], 0).0, work_to([0, 1], 1).0);
+    for work in [cache, other] {
+        assert!(work > 0.0 && work * 2.0 <= 2.0 * 0.25 * 4.0, "two routers send a cold cache {work} s each");
+    }
+}
+
+#[test]
+fn odd_settings_and_lists_are_met() {
+    let fault = |name: &str, value: serde_json::Value| {
+        let mut told = settings();
+        let (group, key) = name.split_once('.').unwrap_or(("", name));
+        let map = if group.is_empty() { &mut told } else { &mut told[group] };
+        map[key] = value;
+        Router::new(told.as_object().unwrap(), 7).err().unwrap_or_else(|| "taken".into())
+    };
+    let faults = [
+        ("my_zone", json!("edge")),
+        ("my_zone", json!(9)),
+        ("balancers", json!(0)),
+        ("classes", json!(null)),
+        ("domain.flow_kb_per_s", json!(0)),
+        ("domain.shield_kind", json!(-1)),
+        ("domain.count_by_zone", json!([])),
+        ("obligations.fall_ms", json!(null)),
+        ("obligations.fall_multiple", json!(-3)),
+        ("unknown", json!({"a": 1})),
+    ];
+    let told = faults.map(|(name, value)| format!("{name} {value}: {}", fault(name, value.clone())));
+    let mut day = Day::new(settings());
+    day.trace.say("an emptied list, then one in reverse order");
+    day.list(ListKind::Whole, &[]);
+    day.take(0, 1);
+    day.list(ListKind::Whole, &(0..6).rev().map(entry).collect::<Vec<_>>());
+    day.take(0, 1);
+    day.trace.say("without parents the origin fills, with one cache it gets all");
+    day.list(ListKind::Whole, &[entry(1), entry(ORIGIN)]);
+    day.take(0, 1);
+    assert_snapshot!(told.join("\n") + "\n" + &day.trace.lines);
+}
