--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,8 @@
 const PACE_HALVES: f64 = 2.0;
 /// the same for fills where their wait is untold and part of their time.
 const JAMMED: f64 = 0.4;
+/// transfers; least room learnt: under one, for a host may slow many times while nothing else is out there.
+const LEAST_ROOM: f64 = 0.1;
 /// weight of a transfer at full pace beyond the learnt room: low, for room is lost faster than it is had.
 const RISE: f64 = 0.03;
 /// latency objectives that a sending time must take for a wait not told to be small beside it.
@@ -127,7 +129,7 @@
 
     /// Learns from a transfer's pace what the link fits: at once while it is full, slowly more while not.
     fn learn(&mut self, others: f64, pace: f64, crowded: f64) {
-        let fits = (self.all(others) * pace).max(1.0);
+        let fits = (self.all(others) * pace).max(LEAST_ROOM);
         if pace < crowded {
             self.room = if self.room > 0.0 { blended(self.room, fits) } else { fits };
         } else if self.room > 0.0 && pace > CROWDED && fits > self.room {
