--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -1,6 +1,6 @@
 //! What is read once at the start: the places, machines and rules around a router, and its delivery services.
 
-use crate::values::{Values, flag, list, number, span, text};
+use crate::values::{Values, above_zero, flag, list, number, span, text};
 use std::time::Duration;
 
 /// One of the kinds of GET, with its promise to clients.
@@ -98,10 +98,13 @@
             values.iter().map(|v| v.as_u64().unwrap_or(0) as usize).collect()
         };
         let (zone, hub_of) = (number(told, "my_zone")? as usize, places("domain.hub_of"));
-        let (counts, routers) = (places("domain.count_by_zone"), number(told, "balancers")?.max(1.0));
+        let (counts, routers) = (places("domain.count_by_zone"), above_zero(told, "balancers")?);
+        if list(told, "zones").is_ok_and(|zones| zone >= zones.len()) {
+            return Err(format!("setting my_zone names place {zone}, which is not among the zones"));
+        }
         let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
         let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
-        let flow = number(told, "domain.flow_kb_per_s")?.max(1.0);
+        let flow = above_zero(told, "domain.flow_kb_per_s")?;
         let heard = flag(told, "limits.retry_after");
         Ok(Self {
             zone,
@@ -121,7 +124,7 @@
             cache_start: ColdStart {
                 from: number(told, "obligations.start_capacity")?,
                 long: span(told, "obligations.warm_within_ms")?,
-                falls_at: number(told, "obligations.fall_multiple")?,
+                falls_at: above_zero(told, "obligations.fall_multiple")?,
                 routers: zone_routers,
             },
             parent_start: ColdStart {
--- a/src/values.rs
+++ b/src/values.rs
@@ -19,6 +19,13 @@
     value.as_f64().ok_or_else(|| format!("setting {name} is not a number"))
 }
 
+/// A number that makes no sense at zero or under it.
+pub fn above_zero(values: &Values, name: &str) -> Result<f64, String> {
+    Some(number(values, name)?)
+        .filter(|&n| n > 0.0)
+        .ok_or_else(|| format!("setting {name} is not above zero"))
+}
+
 pub fn span(values: &Values, name: &str) -> Result<Duration, String> {
     let ms = number(values, name)?.max(0.0);
     Duration::try_from_secs_f64(ms / 1e3).map_err(|_| format!("setting {name} is not a time"))
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -301,7 +301,7 @@
     let mut day = Day::new(settings());
     day.trace.say("listed as draining");
     day.list(ListKind::Changes, &[Entry { standing: Standing::Draining, ..entry(0) }]);
-    let mut to = |day: &mut Day, host| {
+    let to = |day: &mut Day, host| {
         let before = day.trace.sent.iter().filter(|&&h| h == host).count();
         for object in 0..60 {
             let get = day.take(1, object);
