While busy, with all parents failed, one is still asked for what it holds

Cause: where answers tell only hits an origin that answers nobody makes every parent look failed, and then nothing was asked of any. When all fail it is the origin behind them. Guards against a silent, stopped or refusing origin; hurts where all parents are really dead: one forward more.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -372,18 +372,20 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
-    /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it.
+    /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it: one that is
+    /// full, or a failed one, for when all fail it is the origin behind them.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
         let room = |h: &Host| !fill || h.fills_out < h.fill_limit && sending * h.fill_pace(now) <= within;
-        let mut full = None;
+        let (mut full, mut listed) = (None, None);
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
                 let h = &self.hosts[host];
                 let open = self.near(&h.entry) == near && Some(host) != tried && h.usable(now);
                 full = full.or(Some(host).filter(|_| open && !room(h)));
+                listed = listed.or(Some(host).filter(|_| h.on()));
                 open && full.is_none() && self.admits(host, key, work, now)
             })
         };
@@ -392,7 +394,7 @@
         let spared = full.is_some() && self.busy && self.site.notes;
         let found = found.or(self.origin.filter(|&origin| !spared && room(&self.hosts[origin])));
         found.map(|host| (host, false)).or_else(|| {
-            let held = full.filter(|_| self.busy && !self.gets[place].source_lacks)?;
+            let held = full.or(listed).filter(|_| self.busy && !self.gets[place].source_lacks)?;
             self.admits(held, key, work, now).then_some((held, true))
         })
     }
