--- a/src/state.rs
+++ b/src/state.rs
@@ -19,7 +19,7 @@
     pub cold_since: Duration,
     /// Forwards out there, and what its link fits.
     pub crowd: Crowd,
-    /// Forwards out that are probably fills from there, how many may be and are always let be, and when that was last cut.
+    /// Forwards out that are probably fills from there, how many may be, how many always, and the last cut.
     pub fills_out: f64,
     pub fill_limit: f64,
     pub fill_least: f64,
