--- a/src/decide.rs
+++ b/src/decide.rs
@@ -372,8 +372,8 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
-    /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it: a full one, or
-    /// a failed one, for when all fail it is the origin behind them.
+    /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it: a full
+    /// one, or a failed one, for when all fail it is the origin behind them.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
