No cache is left out of a ring of more than 128

A ring dropped its members beyond 128 without a word. Those now have no bit while the ring is walked and may be met twice. Decisions at smaller sizes are the same.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -11,7 +11,7 @@
     x ^ (x >> 31)
 }
 
-/// Members that a ring holds at most: one bit each while it is walked.
+/// Members that have a bit each while the ring is walked; those beyond may be met more than once.
 const MEMBERS: usize = 128;
 
 #[derive(Default)]
@@ -25,7 +25,7 @@
     pub fn lay(&mut self, members: impl Iterator<Item = (HostIndex, u64, u64)>) {
         self.points.clear();
         self.members.clear();
-        for (host, mark, points) in members.take(MEMBERS) {
+        for (host, mark, points) in members {
             let member = self.members.len();
             self.members.push(host);
             self.points.extend((0..points).map(|i| (mix(mark ^ mix(i)), member)));
@@ -42,8 +42,9 @@
         let start = self.points.partition_point(|&(at, _)| at < key);
         let mut met = 0u128;
         self.points[start..].iter().chain(&self.points[..start]).filter_map(move |&(_, member)| {
-            let new = met & (1 << member) == 0;
-            met |= 1 << member;
+            let bit = if member < MEMBERS { 1 << member } else { 0 };
+            let new = met & bit == 0;
+            met |= bit;
             new.then(|| self.members[member])
         })
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -386,3 +386,18 @@
     day.take(0, 1);
     assert_snapshot!(told.join("\n") + "\n" + &day.trace.lines);
 }
+
+#[test]
+fn a_location_of_many_caches_leaves_none_out() {
+    let mut day = Day::new(settings());
+    let many: Vec<_> = (6..206).map(|host| Entry { zone: 1, kind: 0, units: 4.0, ..entry(host) }).collect();
+    day.list(ListKind::Changes, &many);
+    for object in 0..4000 {
+        let get = day.take(1, object);
+        day.end(get, 0, End::Returned, Note::Hit, 50);
+    }
+    let mut met = std::mem::take(&mut day.trace.sent);
+    met.sort_unstable();
+    met.dedup();
+    assert_eq!(met.len(), 203, "caches that were asked, of 203");
+}
