--- a/src/decide.rs
+++ b/src/decide.rs
@@ -660,15 +660,16 @@
 
     pub fn listed<'e>(&mut self, kind: ListKind, entries: impl IntoIterator<Item = &'e Entry>) {
         let r = &mut *self.r;
-        if matches!(kind, ListKind::Whole | ListKind::Kept) {
+        let mut laid = matches!(kind, ListKind::Whole | ListKind::Kept);
+        if laid {
             r.hosts.iter_mut().for_each(|h| h.entry.standing = Standing::Gone);
         } else if kind == ListKind::Failed {
             r.follow_at = self.now + REST;
         }
         for entry in entries {
-            if r.hosts.len() <= entry.host {
-                r.hosts.resize(entry.host + 1, Host::default());
-            }
+            // What happens to caches elsewhere changes no ring here.
+            laid |= r.parental(entry) || entry.zone == r.site.zone || entry.kind == r.site.origin_kind;
+            r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
             let sharers = if r.parental(entry) { r.site.parent_start.routers } else { r.site.routers };
             let h = &mut r.hosts[entry.host];
             if h.entry.started < entry.started {
@@ -679,8 +680,10 @@
             h.fill_least = (FILLS_LEAST / sharers).max(OWN_LEAST);
             h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { h.fill_least * FILLS_FIRST };
         }
-        let cache = |r: &Router, e: &Entry| !r.parental(e) && e.kind != r.site.origin_kind;
-        r.caches = r.ring(|r, e| e.zone == r.site.zone && cache(r, e));
+        if !laid {
+            return;
+        }
+        r.caches = r.ring(|r, e| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind);
         r.parents = r.ring(Router::parental);
         r.origin = r.hosts.iter().position(|h| h.on() && h.entry.kind == r.site.origin_kind);
     }
