--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,8 +28,7 @@
 const SLOTS: usize = 10;
 /// fills; fewer slow or failed ones in a window are chance.
 const BUSY_LEAST: u32 = 3;
-/// slow or failed fills are this part (one in so many) of a window's fills when the origin, not chance, is
-/// slow.
+/// slow or failed fills are one in so many of a window's fills when the origin is slow, not chance.
 const BUSY_PART: u32 = 4;
 /// points on the ring for a host of mean size; evens parts out to a tenth, stays in the processor's cache.
 const RING_POINTS: f64 = 96.0;
