One running mean for all weights; stale comments put right

A link's slowness is asked for where it is used. Decisions are the same to the bit. The comment on jammed fills stands again by the one it refers to, and two more say what the code does since nothing is withdrawn.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 //! 2. cold-start budget: a host that started lately gets a growing share of its part, within a budget;
 //! 3. fill source: the ring's parent, or the next that is well, with fills bounded; else a look at the cache;
 //! 4. silence and further forwards: a host with an overdue forward and no answer since is passed by;
-//! 5. load bound: what would be late goes on along the ring or is shed; late fills bound their source;
+//! 5. load bound: what would be late at its cache goes on along the ring or is shed;
 //! 6. keep rank: an object seen again outranks one seen once.
 
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
@@ -38,7 +38,7 @@
 const REST: Duration = Duration::from_millis(1000);
 /// ms; a host without a success for so long may have been restarted and is treated as cold on its return.
 const LOST: Duration = Duration::from_millis(2000);
-/// ms; granularity of overdue checks: far under any latency objective, few calls a second.
+/// ms; step of the running means: far under any latency objective, few calls a second.
 const SWEEP: Duration = Duration::from_millis(25);
 /// s; least patience beyond the expected sending time: several round trips to a far source.
 const PATIENCE: f64 = 0.25;
@@ -54,13 +54,13 @@
 const IN_TIME: f64 = 0.8;
 /// pace of hits under which a cache's link is full: a cache with room goes faster even where sizes vary.
 const CROWDED: f64 = 0.7;
+/// the same for fills where their wait is untold and part of their time.
+const JAMMED: f64 = 0.4;
 /// ms; over which what this router has out at a cache is taken as what each other one has there.
 const MEAN_OVER: Duration = Duration::from_millis(1000);
 /// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
 const PACE_BLEND: f64 = 0.2;
 const PACE_HALVES: f64 = 2.0;
-/// the same for fills where their wait is untold and part of their time.
-const JAMMED: f64 = 0.4;
 /// transfers; least room learnt: under one, for a host may slow many times while nothing else is out there.
 const LEAST_ROOM: f64 = 0.1;
 /// weight of a transfer at full pace beyond the learnt room: low, for room is lost faster than it is had.
@@ -130,19 +130,19 @@
     fn learn(&mut self, others: f64, pace: f64, crowded: f64) {
         let fits = (self.all(others) * pace).max(LEAST_ROOM);
         if pace < crowded {
-            self.room = if self.room > 0.0 { blended(self.room, fits) } else { fits };
+            self.room = if self.room > 0.0 { blended(self.room, fits, BLEND) } else { fits };
         } else if self.room > 0.0 && pace > CROWDED && fits > self.room {
-            self.room += RISE * (fits - self.room);
+            self.room = blended(self.room, fits, RISE);
         }
     }
 
     fn pass(&mut self) {
-        self.mean += (self.out - self.mean) * SWEEP.div_duration_f64(MEAN_OVER);
+        self.mean = blended(self.mean, self.out, SWEEP.div_duration_f64(MEAN_OVER));
     }
 }
 
-fn blended(mean: f64, new: f64) -> f64 {
-    mean + BLEND * (new - mean)
+fn blended(mean: f64, new: f64, weight: f64) -> f64 {
+    mean + weight * (new - mean)
 }
 
 impl Host {
@@ -177,8 +177,8 @@
         let pace = self.fill_pace(now);
         let weight = (PACE_BLEND * sending / self.pace_sending.max(sending)).min(1.0);
         self.pace_sending =
-            if self.pace_sending > 0.0 { blended(self.pace_sending, sending) } else { sending };
-        self.pace = pace + weight * (spent / sending.max(1e-3) - pace);
+            if self.pace_sending > 0.0 { blended(self.pace_sending, sending, BLEND) } else { sending };
+        self.pace = blended(pace, spent / sending.max(1e-3), weight);
         self.filled_at = now;
     }
 
@@ -439,7 +439,7 @@
         };
         let (object, told) = (mix(get.object), (get.size_kb > 0.0).then_some(get.size_kb / r.site.flow));
         let sending = told.or_else(|| r.sizes.get(object)).unwrap_or(learnt.sending);
-        learnt.sending = told.map_or(learnt.sending, |told| blended(learnt.sending, told));
+        learnt.sending = told.map_or(learnt.sending, |told| blended(learnt.sending, told, BLEND));
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
@@ -464,14 +464,13 @@
             return self.give_up(place);
         }
         let fill = !write && !r.held(&r.gets[place], now);
-        let link = if fill { r.link.slowness(r.site.neighbours, r.site.link) } else { 1.0 };
         let within = if write { f64::INFINITY } else { (objective * IN_TIME).max(sending) };
         let (chosen, any) = if write && r.site.direct { (None, false) } else { r.cache(place, within, now) };
         if chosen.is_none() && any {
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let late = fill && sending * link > within;
+        let late = fill && sending * r.link.slowness(r.site.neighbours, r.site.link) > within;
         let source = origin.map(|origin| (origin, false));
         let source = source.or_else(|| if late { None } else { r.source(place, fill, within, now) });
         // No fill would be in time: the cache is asked for what it holds, once.
@@ -630,8 +629,8 @@
             let seen = (spent - wait).max(1e-3) * 2.0 / (sent.slowness + slowness);
             let object = mix(get.object);
             let known = r.sizes.get(object).filter(|&known| known < seen);
-            r.sizes.set(object, known.map_or(seen, |known| blended(known, seen)));
-            learnt.sending = blended(learnt.sending, seen);
+            r.sizes.set(object, known.map_or(seen, |known| blended(known, seen, BLEND)));
+            learnt.sending = blended(learnt.sending, seen, BLEND);
         }
         if hit && returned && get.size_kb > 0.0 {
             h.crowd.learn(r.site.neighbours, sending / spent.max(1e-3), CROWDED);
@@ -701,7 +700,7 @@
         let warm = r.caches.members().filter(warm).count();
         if warm > 0 {
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
-            r.carried += (rate - r.carried) * SWEEP.div_duration_f64(WINDOW);
+            r.carried = blended(r.carried, rate, SWEEP.div_duration_f64(WINDOW));
         }
         r.link.pass();
         r.caches.members().for_each(|cache| r.hosts[cache].crowd.pass());
--- a/src/values.rs
+++ b/src/values.rs
@@ -21,9 +21,8 @@
 
 /// A number that makes no sense at zero or under it.
 pub fn above_zero(values: &Values, name: &str) -> Result<f64, String> {
-    Some(number(values, name)?)
-        .filter(|&n| n > 0.0)
-        .ok_or_else(|| format!("setting {name} is not above zero"))
+    let n = number(values, name)?;
+    if n > 0.0 { Ok(n) } else { Err(format!("setting {name} is not above zero")) }
 }
 
 pub fn span(values: &Values, name: &str) -> Result<Duration, String> {
