--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -179,15 +179,21 @@
     assert_snapshot!(day.trace.lines);
 }
 
-#[test]
-fn late_fills_bound_their_source_and_what_is_over_it_is_asked_only_of_what_parents_hold() {
+/// A router whose last forty fills all came late.
+fn after_late_fills(note: Note, spent: u64) -> Day {
     let mut day = Day::new(settings());
     for object in 0..40 {
         let get = day.take(0, object);
         day.now += ms(300);
-        day.end(get, 0, End::Returned, Note::FilledFromOrigin, 2000);
+        day.end(get, 0, End::Returned, note, spent);
     }
     day.trace = Default::default();
+    day
+}
+
+#[test]
+fn late_fills_bound_their_source_and_what_is_over_it_is_asked_only_of_what_parents_hold() {
+    let mut day = after_late_fills(Note::FilledFromOrigin, 2000);
     day.trace.say("every source's fills came late for long");
     for object in 100..105 {
         day.take(0, object);
@@ -254,13 +260,7 @@
 
 #[test]
 fn what_no_source_fills_in_time_is_looked_for_at_its_cache_once() {
-    let mut day = Day::new(settings());
-    for object in 0..40 {
-        let get = day.take(0, object);
-        day.now += ms(300);
-        day.end(get, 0, End::Returned, Note::Filled, 2500);
-    }
-    day.trace = Default::default();
+    let mut day = after_late_fills(Note::Filled, 2500);
     day.trace.say("fills took twenty-five times their sending time: a hit is returned, a miss shed");
     for (end, note) in [(End::Returned, Note::Hit), (End::Miss, Note::Untold)] {
         let get = day.take(0, 100);
