--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 mod write;
 
 use myrtlegauge::decide::{Round, Router};
-use myrtlegauge::interface::{Get, ListKind, Outcome, Values};
+use myrtlegauge::interface::{Get, ListKind, Outcome, Purged, Values};
 use read::{Envelope, body, duration};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -195,7 +195,8 @@
         }
         "ExpiredNow" => {
             let m: read::ExpiredNow = body(number, name, text)?;
-            round.purged(m.set_no, m.item, duration(m.oldness_ms));
+            let named = m.item.map_or(Purged::Group(m.set_no), Purged::Object);
+            round.purged(named, duration(m.oldness_ms));
         }
         "DeadlineHit" => round.woken(),
         "Opened" | "Peer" | "Sampled" => {}
--- /dev/null
+++ b/crates/dispatcher/src/program/mod.rs
@@ -0,0 +1,28 @@
+//! The program around the router: what it is told at the start, its loop, its signals.
+
+mod start;
+
+use crate::routing::Dispatcher;
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+
+pub fn run() -> Result<(), String> {
+    let text = start::read()?;
+    let told = start::Told::parse(&text)?;
+    let mut turns = EventLoop::<Dispatcher>::try_new().map_err(|e| format!("no event loop: {e}"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+        .map_err(|e| format!("signals can't be watched: {e}"))?;
+    let watched = turns.handle().insert_source(signals, |signal, _, dispatcher| match signal.signal() {
+        Signal::SIGUSR1 => dispatcher.report(),
+        _ => dispatcher.stop(),
+    });
+    watched.map_err(|e| format!("signals can't be watched: {e}"))?;
+    let mut dispatcher = Dispatcher::start(turns.handle(), told.posting()?)?;
+    log::info!("{} listens on {}", told.name, told.listen);
+    while !dispatcher.is_done() {
+        turns.dispatch(dispatcher.patience(), &mut dispatcher).map_err(|e| format!("the event loop: {e}"))?;
+        dispatcher.turn();
+    }
+    dispatcher.report();
+    Ok(())
+}
--- /dev/null
+++ b/crates/dispatcher/src/program/start.rs
@@ -0,0 +1,63 @@
+//! What the program is told at its start.
+
+use crate::protocol::changelog::Changes;
+use crate::routing::{Posting, Room};
+use myrtlegauge::interface::Values;
+use serde::Deserialize;
+use std::borrow::Cow;
+use std::net::SocketAddr;
+
+const FILE: &str = "ROUTER_CONFIG";
+
+#[derive(Deserialize)]
+pub struct Told<'a> {
+    #[serde(borrow)]
+    pub name: Cow<'a, str>,
+    #[serde(borrow)]
+    pub listen: Cow<'a, str>,
+    #[serde(borrow)]
+    changelog: Cow<'a, str>,
+    #[serde(borrow)]
+    seed: Cow<'a, str>,
+    limits: Limits,
+    #[serde(borrow)]
+    known: &'a serde_json::value::RawValue,
+    settings: Values,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+pub fn read() -> Result<String, String> {
+    let file = std::env::var(FILE).map_err(|_| format!("{FILE} is not set"))?;
+    std::fs::read_to_string(&file).map_err(|e| format!("{FILE} {file}: {e}"))
+}
+
+impl<'a> Told<'a> {
+    pub fn parse(text: &'a str) -> Result<Self, String> {
+        serde_json::from_str(text).map_err(|e| format!("{FILE}: {e}"))
+    }
+
+    pub fn posting(&self) -> Result<Posting<'_>, String> {
+        let address = |what: &str, told: &str| -> Result<SocketAddr, String> {
+            told.parse().map_err(|_| format!("{FILE}: {what} {told:?} is not an address"))
+        };
+        let seed = u64::from_str_radix(&self.seed, 16);
+        let known: Changes<'_> =
+            serde_json::from_str(self.known.get()).map_err(|e| format!("{FILE}: known: {e}"))?;
+        Ok(Posting {
+            listen: address("listen", &self.listen)?,
+            changelog: address("changelog", &self.changelog)?,
+            known,
+            facts: &self.settings,
+            seed: seed.map_err(|_| format!("{FILE}: seed {:?} is not hexadecimal", self.seed))?,
+            room: Room {
+                descriptors: self.limits.sockets,
+                memory: (self.limits.memory_mb * 1024.0 * 1024.0) as usize,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/protocol/fastcgi.rs
@@ -0,0 +1,268 @@
+//! FastCGI 1.0 as a Responder: records in, answers out.
+
+use super::Fault;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+const VERSION: u8 = 1;
+const HEADER: usize = 8;
+const RESPONDER: u16 = 1;
+const KEEP_CONN: u8 = 1;
+
+const BEGIN_REQUEST: u8 = 1;
+const ABORT_REQUEST: u8 = 2;
+const END_REQUEST: u8 = 3;
+const PARAMS: u8 = 4;
+const STDIN: u8 = 5;
+const STDOUT: u8 = 6;
+const GET_VALUES: u8 = 9;
+const GET_VALUES_RESULT: u8 = 10;
+const UNKNOWN_TYPE: u8 = 11;
+
+const COMPLETE: u8 = 0;
+const OVERLOADED: u8 = 2;
+const UNKNOWN_ROLE: u8 = 3;
+
+/// Requests open on one connection, by the protocol page.
+pub const MOST_OPEN: usize = 32;
+/// Bytes of one request's parameters; what clients send takes a few hundred.
+const PARAMS_MOST: usize = 16 * 1024;
+/// Bytes of one request's body; the protocol page allows 48,000.
+const BODY_MOST: usize = 64 * 1024;
+/// Bytes of body in one STDOUT record.
+const RECORD_MOST: usize = 0xfff8;
+
+/// A request that is whole, with the parameters that are used, as they came.
+#[derive(Debug, Default)]
+pub struct Request {
+    pub number: u16,
+    pub keep_conn: bool,
+    pub path: Bytes,
+    pub id: Bytes,
+    pub budget: Bytes,
+    pub key: Bytes,
+    pub part: Bytes,
+    pub group: Bytes,
+    pub held: Bytes,
+    pub body: Bytes,
+    /// It broke a bound or could not be read; it is owed an answer all the same.
+    pub spoilt: bool,
+}
+
+/// What a record came to.
+#[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "moved once; a box would be an allocation for each GET")]
+pub enum Message {
+    Request(Request),
+    /// The client waits no longer for this one.
+    Abort(u16),
+    /// To be written back as it stands; no request comes of it.
+    Reply(Bytes),
+}
+
+#[derive(Default)]
+struct Partial {
+    number: u16,
+    keep_conn: bool,
+    params: BytesMut,
+    params_done: bool,
+    body: BytesMut,
+    spoilt: bool,
+}
+
+/// The requests of one connection that are not yet whole.
+#[derive(Default)]
+pub struct Reader {
+    partial: Vec<Partial>,
+}
+
+impl Reader {
+    /// The next message in what came in; none until more has come. `open` are the requests that were handed out
+    /// and not answered yet.
+    pub fn next(&mut self, inbound: &mut BytesMut, open: &[u16]) -> Result<Option<Message>, Fault> {
+        while inbound.len() >= HEADER {
+            if inbound[0] != VERSION {
+                return Err(Fault("a FastCGI record of another version"));
+            }
+            let (kind, number) = (inbound[1], u16::from_be_bytes([inbound[2], inbound[3]]));
+            let long = usize::from(u16::from_be_bytes([inbound[4], inbound[5]]));
+            let whole = HEADER + long + usize::from(inbound[6]);
+            if inbound.len() < whole {
+                inbound.reserve(whole - inbound.len());
+                return Ok(None);
+            }
+            let mut record = inbound.split_to(whole).freeze();
+            record.advance(HEADER);
+            record.truncate(long);
+            let message = if number == 0 {
+                management(kind, record)?
+            } else {
+                self.record(kind, number, record, open)?
+            };
+            if message.is_some() {
+                return Ok(message);
+            }
+        }
+        Ok(None)
+    }
+
+    fn record(
+        &mut self,
+        kind: u8,
+        number: u16,
+        record: Bytes,
+        open: &[u16],
+    ) -> Result<Option<Message>, Fault> {
+        let at = self.partial.iter().position(|p| p.number == number);
+        match (kind, at) {
+            (BEGIN_REQUEST, None) if record.len() == 8 && !open.contains(&number) => {
+                let role = u16::from_be_bytes([record[0], record[1]]);
+                if role != RESPONDER {
+                    return Ok(Some(Message::Reply(end(number, UNKNOWN_ROLE))));
+                }
+                if self.partial.len() + open.len() >= MOST_OPEN {
+                    return Ok(Some(Message::Reply(end(number, OVERLOADED))));
+                }
+                let keep_conn = record[2] & KEEP_CONN != 0;
+                self.partial.push(Partial { number, keep_conn, ..Partial::default() });
+            }
+            (BEGIN_REQUEST, _) => return Err(Fault("a FastCGI request begun twice or malformed")),
+            (ABORT_REQUEST, Some(at)) => {
+                self.partial.swap_remove(at);
+                return Ok(Some(Message::Reply(end(number, COMPLETE))));
+            }
+            (ABORT_REQUEST, None) if open.contains(&number) => return Ok(Some(Message::Abort(number))),
+            (PARAMS, Some(at)) => {
+                let partial = &mut self.partial[at];
+                partial.params_done |= record.is_empty();
+                partial.spoilt |= partial.params.len() + record.len() > PARAMS_MOST;
+                if !partial.spoilt {
+                    partial.params.extend_from_slice(&record);
+                }
+            }
+            (STDIN, Some(at)) if record.is_empty() => {
+                let partial = self.partial.swap_remove(at);
+                return Ok(Some(Message::Request(partial.whole())));
+            }
+            (STDIN, Some(at)) => {
+                let partial = &mut self.partial[at];
+                partial.spoilt |= partial.body.len() + record.len() > BODY_MOST;
+                if !partial.spoilt {
+                    partial.body.extend_from_slice(&record);
+                }
+            }
+            // Records of other kinds, and those of requests that are over, are passed over.
+            _ => {}
+        }
+        Ok(None)
+    }
+}
+
+impl Partial {
+    fn whole(self) -> Request {
+        let (params, body) = (self.params.freeze(), self.body.freeze());
+        let mut request =
+            Request { number: self.number, keep_conn: self.keep_conn, body, ..Request::default() };
+        let read = pairs(params, |name, value| {
+            let field = match &name[..] {
+                b"SCRIPT_NAME" => &mut request.path,
+                b"HTTP_REQUEST_ID" => &mut request.id,
+                b"HTTP_BUDGET_MS" => &mut request.budget,
+                b"HTTP_RESOURCE_KEY" => &mut request.key,
+                b"HTTP_X_CHUNK" => &mut request.part,
+                b"HTTP_X_TAG" => &mut request.group,
+                b"HTTP_X_KNOWN" => &mut request.held,
+                _ => return,
+            };
+            *field = value;
+        });
+        request.spoilt = self.spoilt || !self.params_done || read.is_none();
+        request
+    }
+}
+
+/// Reads name-value pairs; none where they don't fit their record.
+fn pairs(mut params: Bytes, mut each: impl FnMut(Bytes, Bytes)) -> Option<()> {
+    let length = |params: &mut Bytes| {
+        let first = *params.first()?;
+        if first < 0x80 {
+            params.advance(1);
+            return Some(usize::from(first));
+        }
+        (params.len() >= 4).then(|| params.get_u32() as usize & 0x7fff_ffff)
+    };
+    while !params.is_empty() {
+        let (name, value) = (length(&mut params)?, length(&mut params)?);
+        if name.checked_add(value)? > params.len() {
+            return None;
+        }
+        let name = params.split_to(name);
+        each(name, params.split_to(value));
+    }
+    Some(())
+}
+
+fn management(kind: u8, record: Bytes) -> Result<Option<Message>, Fault> {
+    let mut out = BytesMut::new();
+    if kind == GET_VALUES {
+        let mut told = BytesMut::new();
+        pairs(record, |name, _| {
+            let value: &[u8] = match &name[..] {
+                b"FCGI_MAX_CONNS" => b"256",
+                b"FCGI_MAX_REQS" => b"8192",
+                b"FCGI_MPXS_CONNS" => b"1",
+                _ => return,
+            };
+            told.put_u8(name.len() as u8);
+            told.put_u8(value.len() as u8);
+            told.put_slice(&name);
+            told.put_slice(value);
+        })
+        .ok_or(Fault("FastCGI values that can't be read"))?;
+        header(&mut out, GET_VALUES_RESULT, 0, told.len());
+        out.put_slice(&told);
+    } else {
+        header(&mut out, UNKNOWN_TYPE, 0, 8);
+        out.put_slice(&[kind, 0, 0, 0, 0, 0, 0, 0]);
+    }
+    Ok(Some(Message::Reply(out.freeze())))
+}
+
+fn header(out: &mut BytesMut, kind: u8, number: u16, long: usize) {
+    debug_assert!(long <= 0xffff, "a record is at most 65,535 bytes");
+    out.put_slice(&[VERSION, kind]);
+    out.put_u16(number);
+    out.put_u16(long as u16);
+    out.put_u16(0);
+}
+
+/// Ends a request without an answer.
+pub fn end(number: u16, status: u8) -> Bytes {
+    let mut out = BytesMut::with_capacity(16);
+    put_end(&mut out, number, status);
+    out.freeze()
+}
+
+/// The end of a request that its client aborted.
+pub fn end_aborted(number: u16) -> Bytes {
+    end(number, COMPLETE)
+}
+
+fn put_end(out: &mut BytesMut, number: u16, status: u8) {
+    header(out, END_REQUEST, number, 8);
+    out.put_slice(&[0, 0, 0, 0, status, 0, 0, 0]);
+}
+
+/// Writes a whole answer: its head, the body as the bytes that came, and the end.
+pub fn answer(pen: &mut BytesMut, number: u16, head: &[u8], mut body: Bytes, mut out: impl FnMut(Bytes)) {
+    header(pen, STDOUT, number, head.len());
+    pen.put_slice(head);
+    while !body.is_empty() {
+        let part = body.split_to(body.len().min(RECORD_MOST));
+        header(pen, STDOUT, number, part.len());
+        out(pen.split().freeze());
+        out(part);
+    }
+    header(pen, STDOUT, number, 0);
+    put_end(pen, number, COMPLETE);
+    out(pen.split().freeze());
+}
--- /dev/null
+++ b/crates/dispatcher/src/protocol/resp.rs
@@ -0,0 +1,95 @@
+//! RESP to hosts: commands out, answers in, both as arrays of bulk strings. Written here rather than taken from a
+//! crate, for lengths have to be bounded before they are waited for.
+
+use super::Fault;
+use bytes::{BufMut, Bytes, BytesMut};
+use std::fmt::{Arguments, Write};
+
+/// Bytes of one element; the protocol page allows objects of 240,000.
+const ELEMENT_MOST: usize = 256 * 1024;
+/// Bytes of one length line.
+const LINE_MOST: usize = 16;
+const ELEMENTS: usize = 4;
+
+/// One answer of a host.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub id: Bytes,
+    pub word: Bytes,
+    pub fields: Bytes,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&[u8]> {
+        self.fields.split(|&b| b == b',').find_map(|field| {
+            let (key, value) = field.split_at(field.iter().position(|&b| b == b'=')?);
+            (key == name.as_bytes()).then_some(&value[1..])
+        })
+    }
+}
+
+/// Reads a length line; none until it is whole. What comes back is the length and where the line ends.
+fn length(bytes: &[u8], from: usize, mark: u8) -> Result<Option<(usize, usize)>, Fault> {
+    let line = &bytes[from.min(bytes.len())..];
+    if line.first().is_some_and(|&b| b != mark) {
+        return Err(Fault("a RESP answer that is no array of bulk strings"));
+    }
+    let Some(end) = line.iter().take(LINE_MOST).position(|&b| b == b'\n') else {
+        return if line.len() < LINE_MOST { Ok(None) } else { Err(Fault("a RESP length that does not end")) };
+    };
+    let digits = line[..end].strip_suffix(b"\r").and_then(|l| l.get(1..)).unwrap_or_default();
+    let digits = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
+    let long = digits.and_then(|d| d.parse().ok()).ok_or(Fault("a RESP length that is no number"))?;
+    Ok(Some((long, from + end + 1)))
+}
+
+/// Takes the next answer out of what came in; none until it is whole.
+pub fn next(inbound: &mut BytesMut) -> Result<Option<Answer>, Fault> {
+    let Some((elements, mut at)) = length(inbound, 0, b'*')? else { return Ok(None) };
+    if elements != ELEMENTS {
+        return Err(Fault("a RESP answer of another number of elements"));
+    }
+    let mut spans = [(0, 0); ELEMENTS];
+    for span in &mut spans {
+        let Some((long, from)) = length(inbound, at, b'$')? else { return Ok(None) };
+        if long > ELEMENT_MOST {
+            return Err(Fault("a RESP element over the bound"));
+        }
+        at = from + long + 2;
+        if inbound.len() < at {
+            inbound.reserve(at - inbound.len());
+            return Ok(None);
+        }
+        if &inbound[at - 2..at] != b"\r\n" {
+            return Err(Fault("a RESP element that runs on"));
+        }
+        *span = (from, from + long);
+    }
+    let whole = inbound.split_to(at).freeze();
+    let [id, word, fields, body] = spans.map(|(from, to)| whole.slice(from..to));
+    Ok(Some(Answer { id, word, fields, body }))
+}
+
+fn element(out: &mut BytesMut, bytes: &[u8]) {
+    put(out, format_args!("${}\r\n", bytes.len()));
+    out.put_slice(bytes);
+    out.put_slice(b"\r\n");
+}
+
+fn put(out: &mut BytesMut, text: Arguments<'_>) {
+    out.write_fmt(text).expect("a buffer takes all that is written");
+}
+
+pub fn serve(out: &mut BytesMut, id: &[u8], fields: &[u8], body: &[u8]) {
+    out.put_slice(b"*4\r\n$5\r\nserve\r\n");
+    element(out, id);
+    element(out, if fields.is_empty() { b"-" } else { fields });
+    element(out, body);
+}
+
+pub fn cancel(out: &mut BytesMut, id: &[u8]) {
+    out.put_slice(b"*2\r\n$6\r\ncancel\r\n");
+    element(out, id);
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -0,0 +1,130 @@
+//! The clients' side of the desk: requests in, answers out.
+
+use super::clients::{Answer, Client};
+use super::desk::Desk;
+use super::hands::Hand;
+use super::{Key, Who};
+use crate::protocol::Fault;
+use crate::protocol::fastcgi::{self, Message, Request};
+use bytes::Bytes;
+use myrtlegauge::interface::{Get, Place};
+
+impl Desk {
+    /// Reads on with one client until a GET is whole; none once nothing more has come.
+    pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
+        loop {
+            let client = self.client(key)?;
+            let Client { connection, reader, numbers, .. } = client;
+            match connection.parse(|inbound| reader.next(inbound, numbers)) {
+                Ok(Some(Message::Request(request))) => {
+                    if let Some(get) = self.asked(key, place, request) {
+                        return Some(get);
+                    }
+                }
+                Ok(Some(Message::Reply(bytes))) => {
+                    connection.push(bytes);
+                    self.dirty.push(Who::Client(key));
+                }
+                Ok(Some(Message::Abort(number))) => {
+                    if let Some(place) = client.close(number) {
+                        client.connection.push(fastcgi::end_aborted(number));
+                        self.abandon(place);
+                        self.dirty.push(Who::Client(key));
+                    }
+                }
+                Ok(None) => {
+                    if client.ended || client.last && client.quiet() {
+                        self.drop_client(key);
+                    }
+                    return None;
+                }
+                Err(Fault(what)) => {
+                    log::warn!("a client's connection is closed: {what}");
+                    self.counters.faults += 1;
+                    self.drop_client(key);
+                    return None;
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, key: Key, place: Place, request: Request) -> Option<Get> {
+        let (number, keep_conn) = (request.number, request.keep_conn);
+        let get = self.door.get(&request);
+        let ready = self.is_ready();
+        let health = get.is_none() && &request.path[..] == b"/health";
+        self.client(key)?.last |= !keep_conn;
+        let Some(get) = get else {
+            let answer = if health { Answer::Healthy(ready) } else { Answer::Unusable };
+            self.counters.health += u64::from(health);
+            self.counters.unusable += u64::from(!health);
+            if !health {
+                log::warn!("a request can't be used: {request:?}");
+            }
+            self.write_answer(key, number, &answer);
+            return None;
+        };
+        self.counters.taken += 1;
+        self.client(key)?.open(number, place);
+        let until = self.now + get.viewer_timeout;
+        let owed = Some((key, number));
+        self.hands.open(place, Hand { owed, request, ds: get.ds, until, ..Hand::default() });
+        Some(get)
+    }
+
+    fn write_answer(&mut self, key: Key, number: u16, answer: &Answer) {
+        let pen = &mut self.pen;
+        let client = self.clients.get_mut(key.at as usize).filter(|c| c.serial == key.serial);
+        if let Some(client) = client {
+            client.answer(pen, number, answer);
+            self.dirty.push(Who::Client(key));
+            if client.last {
+                self.heard_clients.push_back(key);
+            }
+        }
+    }
+
+    /// Pays what is owed for a GET; false if it was answered or abandoned before.
+    pub fn pay(&mut self, place: Place, answer: &Answer) -> bool {
+        let Some((key, number)) = self.hands.settle(place) else { return false };
+        if let Some(client) = self.client(key) {
+            client.close(number);
+        }
+        match answer {
+            Answer::Returned(_) => self.counters.returned += 1,
+            Answer::NotModified => {
+                self.counters.returned += 1;
+                self.counters.not_modified += 1;
+            }
+            Answer::Shed(_) => self.counters.shed += 1,
+            _ => self.counters.errored += 1,
+        }
+        self.write_answer(key, number, answer);
+        true
+    }
+
+    fn abandon(&mut self, place: Place) {
+        if self.hands.settle(place).is_some() {
+            self.counters.abandoned += 1;
+            self.abandoned.push_back(place);
+        }
+    }
+
+    /// A client that is gone waits for nothing.
+    fn drop_client(&mut self, key: Key) {
+        let client = self.clients.remove(key.at as usize);
+        for &(_, place) in &client.open {
+            self.abandon(place);
+        }
+    }
+
+    /// The answer that a host's bytes make; none where they can't be one.
+    pub fn returned(&mut self, place: Place, word: &[u8], body: Bytes) -> Option<Answer> {
+        let holds = !self.hands.at(place).request.held.is_empty();
+        match word {
+            b"304" if holds => Some(Answer::NotModified),
+            b"304" => None,
+            _ => Some(Answer::Returned(body)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -0,0 +1,118 @@
+//! Connections of clients, and the answers that go out on them.
+
+use super::{Dispatcher, Key};
+use crate::protocol::fastcgi::{self, Reader};
+use crate::transport::Connection;
+use bytes::{Bytes, BytesMut};
+use myrtlegauge::interface::Place;
+use std::fmt::Write;
+use std::time::Duration;
+
+pub struct Client {
+    pub connection: Connection<Dispatcher>,
+    pub reader: Reader,
+    pub serial: u32,
+    /// Requests that are owed an answer: their numbers, and the GETs they are.
+    pub open: Vec<(u16, Place)>,
+    pub numbers: Vec<u16>,
+    /// To be closed once nothing is open and all is written.
+    pub last: bool,
+    pub ended: bool,
+    /// When it last came in or went out.
+    pub moved_at: Duration,
+    pub flushed: u64,
+}
+
+impl Client {
+    pub fn new(connection: Connection<Dispatcher>, serial: u32, now: Duration) -> Self {
+        Self {
+            connection,
+            reader: Reader::default(),
+            serial,
+            open: Vec::new(),
+            numbers: Vec::new(),
+            last: false,
+            ended: false,
+            moved_at: now,
+            flushed: 0,
+        }
+    }
+
+    pub fn key(&self, at: usize) -> Key {
+        Key { at: at as u32, serial: self.serial }
+    }
+
+    pub fn quiet(&self) -> bool {
+        self.open.is_empty() && self.connection.waiting() == 0
+    }
+
+    pub fn open(&mut self, number: u16, place: Place) {
+        self.open.push((number, place));
+        self.numbers.push(number);
+    }
+
+    /// The request is over; none if it was before.
+    pub fn close(&mut self, number: u16) -> Option<Place> {
+        let at = self.open.iter().position(|&(open, _)| open == number)?;
+        self.numbers.swap_remove(at);
+        Some(self.open.swap_remove(at).1)
+    }
+
+    pub fn answer(&mut self, pen: &mut BytesMut, number: u16, answer: &Answer) {
+        let mut head = Head::default();
+        answer.head(&mut head);
+        let body = if let Answer::Returned(body) = answer { body.clone() } else { Bytes::new() };
+        fastcgi::answer(pen, number, head.text(), body, |bytes| self.connection.push(bytes));
+    }
+}
+
+/// The answers that there are.
+pub enum Answer {
+    Returned(Bytes),
+    /// The copy that the client holds is the one.
+    NotModified,
+    Shed(Option<Duration>),
+    Errored,
+    /// What was asked could not be used.
+    Unusable,
+    Healthy(bool),
+}
+
+/// Room for the longest head.
+#[derive(Default)]
+struct Head {
+    bytes: arrayvec::ArrayString<HEAD_MOST>,
+}
+
+const HEAD_MOST: usize = 160;
+
+impl Head {
+    fn text(&self) -> &[u8] {
+        self.bytes.as_bytes()
+    }
+}
+
+impl Answer {
+    fn head(&self, head: &mut Head) {
+        let out = &mut head.bytes;
+        let written = match self {
+            Answer::Returned(body) => {
+                let long = body.len();
+                write!(
+                    out,
+                    "Status: 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: {long}\r\n"
+                )
+            }
+            Answer::NotModified => write!(out, "Status: 200 OK\r\nX-Valid: 1\r\nContent-Length: 0\r\n"),
+            Answer::Shed(None) => write!(out, "Status: 503 Service Unavailable\r\n"),
+            Answer::Shed(Some(wait)) => {
+                write!(out, "Status: 503 Service Unavailable\r\nBack-Off-Ms: {}\r\n", wait.as_millis().max(1))
+            }
+            Answer::Errored => write!(out, "Status: 502 Bad Gateway\r\n"),
+            Answer::Unusable => write!(out, "Status: 400 Bad Request\r\n"),
+            Answer::Healthy(true) => write!(out, "Status: 200 OK\r\nContent-Length: 0\r\n"),
+            Answer::Healthy(false) => write!(out, "Status: 503 Service Unavailable\r\n"),
+        };
+        written.and_then(|()| out.write_str("\r\n")).expect("the longest head fits");
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -0,0 +1,115 @@
+//! What was taken in, sent and answered, by kind.
+
+use myrtlegauge::interface::{End, Note};
+use std::fmt;
+
+#[derive(Default)]
+pub struct Counters {
+    pub taken: u64,
+    pub returned: u64,
+    pub not_modified: u64,
+    pub shed: u64,
+    pub errored: u64,
+    pub abandoned: u64,
+    /// Requests that could not be read or used, answered errored without the module.
+    pub unusable: u64,
+    pub health: u64,
+    pub forwards: u64,
+    pub withdrawn: u64,
+    ends: [u64; END_NAMES.len()],
+    notes: [u64; NOTE_NAMES.len()],
+    pub clients: u64,
+    pub clients_refused: u64,
+    pub links: u64,
+    pub links_failed: u64,
+    pub links_broken: u64,
+    pub links_idle: u64,
+    pub changes: u64,
+    pub purges: u64,
+    pub polls_failed: u64,
+    /// Messages that could not be read, and answers that no GET waited for.
+    pub faults: u64,
+    pub strays: u64,
+    /// What must hold and did not.
+    pub broken: u64,
+    pub rounds: u64,
+    pub round_longest_us: u64,
+}
+
+const END_NAMES: [&str; 9] =
+    ["returned", "miss", "errored", "full", "timed-out", "no-connection", "reset", "withdrawn", "never-sent"];
+const NOTE_NAMES: [&str; 11] = [
+    "untold",
+    "hit",
+    "filled",
+    "filled-from-origin",
+    "joined",
+    "stale",
+    "source-refused",
+    "source-broke",
+    "source-lacks",
+    "no-fill-place",
+    "origin-failed",
+];
+
+impl Counters {
+    pub fn ended(&mut self, end: End, note: Note) {
+        self.ends[end as usize] += 1;
+        self.notes[note as usize] += 1;
+    }
+
+    /// Checks what must hold: asserted in debug builds, counted in release builds.
+    pub fn must(&mut self, holds: bool, what: &str) {
+        debug_assert!(holds, "{what}");
+        if !holds {
+            self.broken += 1;
+            log::error!("broken: {what}");
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "GETs: taken {} returned {} (not modified {}) shed {} errored {} abandoned {} unusable {} health {}",
+            self.taken,
+            self.returned,
+            self.not_modified,
+            self.shed,
+            self.errored,
+            self.abandoned,
+            self.unusable,
+            self.health
+        )?;
+        write!(f, "forwards: sent {} withdrawn {}", self.forwards, self.withdrawn)?;
+        for (name, n) in END_NAMES.iter().zip(self.ends) {
+            write!(f, " {name} {n}")?;
+        }
+        write!(f, "\nnotes:")?;
+        for (name, n) in NOTE_NAMES.iter().zip(self.notes) {
+            write!(f, " {name} {n}")?;
+        }
+        write!(
+            f,
+            "\nconnections: clients {} turned away {}; hosts {} failed {} broken {} idle {}\n\
+             change log: changes {} purges {} polls failed {}\n\
+             faults: unreadable {} strays {} broken {}\n\
+             rounds: {} longest {} us",
+            self.clients,
+            self.clients_refused,
+            self.links,
+            self.links_failed,
+            self.links_broken,
+            self.links_idle,
+            self.changes,
+            self.purges,
+            self.polls_failed,
+            self.faults,
+            self.strays,
+            self.broken,
+            self.rounds,
+            self.round_longest_us
+        )
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -0,0 +1,98 @@
+//! The poll of the change log: one request at a time, at once again after an answer.
+
+use super::{Dispatcher, Who};
+use crate::protocol::{Fault, changelog};
+use crate::transport::{Accounts, Connection, Hub, Reading};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long an answer may wait for news: short, so that a connection gone silent is found soon.
+const WAIT: Duration = Duration::from_millis(1000);
+/// After this much more the connection is given up.
+const PATIENCE: Duration = Duration::from_millis(1000);
+/// Pause after a loss: quick, and no flood where nobody listens.
+const AGAIN: Duration = Duration::from_millis(200);
+
+pub struct Feed {
+    address: SocketAddr,
+    host: String,
+    connection: Option<Connection<Dispatcher>>,
+    asked: bool,
+    /// When to give up or to try again.
+    pub due: Duration,
+    /// The last event that was taken.
+    pub last: u64,
+}
+
+impl Feed {
+    pub fn new(address: SocketAddr, last: u64) -> Self {
+        Self { address, host: address.to_string(), connection: None, asked: false, due: Duration::ZERO, last }
+    }
+
+    /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
+    pub fn tend(&mut self, hub: &Hub<Dispatcher>, accounts: &Rc<Accounts>, now: Duration) -> bool {
+        let overdue = self.connection.is_some() && self.asked && now >= self.due;
+        if overdue {
+            self.lose(now);
+        }
+        if self.connection.is_none() && now >= self.due {
+            self.connection = Connection::opening(hub, self.address, Who::Feed, accounts).ok();
+            (self.asked, self.due) = (false, now + AGAIN);
+        }
+        if let Some(connection) = self.connection.as_mut().filter(|_| !self.asked) {
+            connection.push(changelog::poll(&self.host, self.last, WAIT.as_millis()));
+            (self.asked, self.due) = (true, now + WAIT + PATIENCE);
+            if matches!(connection.is_up(), Ok(true)) && connection.flush().is_err() {
+                self.lose(now);
+                return true;
+            }
+        }
+        overdue
+    }
+
+    fn lose(&mut self, now: Duration) {
+        self.connection = None;
+        (self.asked, self.due) = (false, now + AGAIN);
+    }
+
+    /// Reads and writes what can be; a loss is told.
+    pub fn stir(&mut self, shared: &mut [u8], now: Duration) -> Result<(), Fault> {
+        let Some(connection) = &mut self.connection else { return Ok(()) };
+        let up = connection.is_up();
+        let lost = match up {
+            Ok(false) => return Ok(()),
+            Ok(true) => {
+                let flushed = connection.flush().is_err();
+                let mut reading = connection.read(shared);
+                while reading == Reading::More {
+                    reading = connection.read(shared);
+                }
+                flushed || reading == Reading::Ended && connection.parse(|inbound| inbound.is_empty())
+            }
+            Err(_) => true,
+        };
+        if lost {
+            self.lose(now);
+            return Err(Fault("the change log's connection was lost"));
+        }
+        Ok(())
+    }
+
+    /// The next whole answer.
+    pub fn next(&mut self, now: Duration) -> Result<Option<Bytes>, Fault> {
+        let Some(connection) = &mut self.connection else { return Ok(None) };
+        match connection.parse(changelog::next) {
+            Ok(Some(body)) => {
+                (self.asked, self.due) = (false, now);
+                Ok(Some(body))
+            }
+            Ok(None) => Ok(None),
+            Err(fault) => {
+                self.lose(now);
+                Err(fault)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -0,0 +1,356 @@
+//! The hosts' side of the desk: forwards out, answers in. It carries out what the module decided.
+
+use super::clients::Answer;
+use super::desk::{Desk, Due};
+use super::door;
+use super::hands::{Out, Wanted};
+use super::hosts::Link;
+use super::{Key, Who};
+use crate::protocol::{Fault, resp};
+use crate::transport::Connection;
+use myrtlegauge::interface::{Dispatch, End, Forward, HostIndex, Load, Note, Outcome, Place};
+use std::cmp::Reverse;
+use std::fmt::{Arguments, Write};
+use std::time::Duration;
+
+impl Dispatch for Desk {
+    fn forward(&mut self, place: Place, f: &Forward) {
+        let (now, most) = (self.now, self.manners.forwards);
+        let hand = self.hands.at(place);
+        let (fit, hop) = (hand.owed.is_some() && hand.out.is_none(), hand.hops);
+        hand.hops += 1;
+        let left = hand.until.saturating_sub(now);
+        let until = now + if f.timeout.is_zero() { left } else { f.timeout.min(left) };
+        self.counters.must(fit, "one forward out at a time, and only for a GET in hand");
+        self.forwards += 1;
+        let serial = self.forwards;
+        let wanted = Wanted {
+            source: Some(f.source).filter(|&source| source != f.host),
+            keep: f.keep,
+            // Zero would mean the fresh time, so that a limit is never rounded to it.
+            cap_ms: if f.accepted_age.is_zero() { 0 } else { f.accepted_age.as_millis().max(1) },
+            join: f.join,
+            held_only: f.held_only,
+            renew: f.renew,
+        };
+        let allowed = hop < most;
+        let link = if allowed { self.link_to(f.host) } else { None };
+        self.hands.at(place).out = Some(Out { hop, serial, at: now, until, link, ends_at: None, wanted });
+        self.counters.forwards += 1;
+        self.dues.push(Reverse((until, Due::Forward(place, serial))));
+        match link {
+            Some(key) => {
+                let link = &mut self.links[key.at as usize];
+                link.out.push(place);
+                link.used_at = now;
+                if link.up {
+                    self.write_forward(key, place);
+                }
+            }
+            None => self.ended.push_back((
+                place,
+                serial,
+                if allowed { End::NoConnection } else { End::NeverSent },
+            )),
+        }
+    }
+
+    fn withdraw(&mut self, place: Place, hop: u32) {
+        let Some(out) = self.hands.at(place).out.filter(|out| out.hop == hop) else { return };
+        self.counters.withdrawn += 1;
+        self.give_up(place, &out);
+        self.ended.push_back((place, out.serial, End::Withdrawn));
+    }
+
+    fn shed(&mut self, place: Place, retry_after: Option<Duration>) {
+        let paid = self.pay(place, &Answer::Shed(retry_after));
+        self.counters.must(paid, "one answer for each GET");
+    }
+
+    fn error(&mut self, place: Place) {
+        let paid = self.pay(place, &Answer::Errored);
+        self.counters.must(paid, "one answer for each GET");
+    }
+
+    fn settled(&mut self, place: Place) {
+        let hand = self.hands.at(place);
+        let clear = hand.owed.is_none() && hand.out.is_none();
+        self.counters.must(clear, "a GET that is over has no forward out and its answer");
+        self.hands.clear(place);
+    }
+
+    fn wake(&mut self, after: Duration) {
+        self.wake_in(after);
+    }
+
+    fn follow_list(&mut self) {}
+
+    fn log(&mut self, line: Arguments<'_>) {
+        log::info!("{line}");
+    }
+}
+
+impl Desk {
+    /// The connection that takes a forward to a host: the emptiest that is up, else one that is coming up, else a
+    /// new one.
+    fn link_to(&mut self, host: HostIndex) -> Option<Key> {
+        let (links, streams) = (&self.links, self.manners.streams);
+        let open = self.hosts[host].links.iter().copied().filter(|&at| links[at].takes(streams));
+        if let Some(at) = open.min_by_key(|&at| (!links[at].up, links[at].out.len())) {
+            return Some(links[at].key(at));
+        }
+        if !self.has_room_for_link() {
+            return None;
+        }
+        let (serial, at) = (self.next_serial(), self.links.vacant_key());
+        let key = Key { at: at as u32, serial };
+        let address = self.hosts[host].address;
+        let connection = Connection::opening(&self.hub, address, Who::Link(key), &self.accounts).ok()?;
+        self.counters.links += 1;
+        let now = self.now;
+        self.links.insert(Link {
+            connection,
+            serial,
+            host,
+            up: false,
+            since: now,
+            out: Vec::new(),
+            retired: false,
+            ended: false,
+            heard_at: now,
+            used_at: now,
+        });
+        self.hosts[host].links.push(at);
+        self.dues.push(Reverse((now + self.manners.connect, Due::Connect(key.at, serial))));
+        Some(key)
+    }
+
+    /// Writes a forward as its host reads it; what the client sent goes on as it came.
+    fn write_forward(&mut self, key: Key, place: Place) {
+        let Self { hands, hosts, links, door, pen, now, .. } = self;
+        let hand = hands.at(place);
+        let Some(out) = &mut hand.out else { return };
+        let (request, wanted, ttl) = (&hand.request, &out.wanted, out.until.saturating_sub(*now));
+        let mut fields = arrayvec::ArrayVec::<u8, FIELDS_MOST>::new();
+        let mut put = |name: &str, value: &[u8]| {
+            let comma: &[u8] = if fields.is_empty() { b"" } else { b"," };
+            for part in [comma, name.as_bytes(), b"=", value] {
+                fields.try_extend_from_slice(part).expect("the bounds of all fields fit");
+            }
+        };
+        put("lane", &door.services[hand.ds]);
+        for (name, value) in [("name", &request.key), ("piece", &request.part)] {
+            if !value.is_empty() {
+                put(name, value);
+            }
+        }
+        put("ttl", Digits::of(ttl.as_millis().max(1)).text());
+        if let Some(source) = wanted.source {
+            put("up", &hosts[source].name);
+        }
+        if wanted.keep > 0 {
+            put("store", Digits::of(u128::from(wanted.keep)).text());
+        }
+        if wanted.cap_ms > 0 {
+            put("cap", Digits::of(wanted.cap_ms).text());
+        }
+        let words = [(wanted.join, "join"), (wanted.held_only, "held"), (wanted.renew, "renew")];
+        let mut list = arrayvec::ArrayString::<16>::new();
+        for (_, word) in words.iter().filter(|(said, _)| *said) {
+            list.push_str(if list.is_empty() { "" } else { "+" });
+            list.push_str(word);
+        }
+        if !list.is_empty() {
+            put("do", list.as_bytes());
+        }
+        let held = bare(&request.held);
+        if !held.is_empty() {
+            put("inm", held);
+        }
+        resp::serve(pen, &request.id, &fields, &request.body);
+        let link = &mut links[key.at as usize];
+        link.connection.push(pen.split().freeze());
+        out.ends_at = Some(link.connection.pushed());
+        self.dirty.push(Who::Link(key));
+    }
+
+    pub fn link_up(&mut self, key: Key) {
+        let now = self.now;
+        let Some(link) = self.link(key) else { return };
+        (link.up, link.since, link.heard_at) = (true, now, now);
+        for i in 0..link.out.len() {
+            let place = self.links[key.at as usize].out[i];
+            self.write_forward(key, place);
+        }
+    }
+
+    /// A connection that did not come up: nothing that waited for it ever ran.
+    pub fn link_failed(&mut self, key: Key) {
+        self.counters.links_failed += 1;
+        self.end_link(key.at as usize, End::NoConnection);
+    }
+
+    /// Ends a connection and what is out on it. A forward whose last byte never left is proven not run.
+    pub fn end_link(&mut self, at: usize, end: End) {
+        let flushed = self.links[at].connection.flushed();
+        for place in std::mem::take(&mut self.links[at].out) {
+            let Some(out) = self.hands.at(place).out.as_mut() else { continue };
+            out.link = None;
+            let left = out.ends_at.is_some_and(|ends| ends <= flushed);
+            self.ended.push_back((place, out.serial, if left { end } else { End::NoConnection }));
+        }
+        self.drop_link(at);
+    }
+
+    pub fn drop_link(&mut self, at: usize) {
+        let link = self.links.remove(at);
+        debug_assert!(link.out.is_empty(), "a connection is dropped with a forward out");
+        self.hosts[link.host].links.retain(|&other| other != at);
+    }
+
+    /// A forward's time is up.
+    pub fn overdue(&mut self, place: Place, serial: u64) {
+        let out = self.hands.get(place).and_then(|hand| hand.out).filter(|out| out.serial == serial);
+        let Some(out) = out.filter(|out| out.link.is_some()) else { return };
+        self.give_up(place, &out);
+        let end = if out.ends_at.is_some() { End::TimedOut } else { End::NeverSent };
+        self.ended.push_back((place, serial, end));
+    }
+
+    /// Takes a forward off its connection and tells the host, if it was told of it.
+    fn give_up(&mut self, place: Place, out: &Out) {
+        let Some(key) = out.link else { return };
+        if let Some(out) = &mut self.hands.at(place).out {
+            out.link = None;
+        }
+        let (now, connect, cancel) = (self.now, self.manners.connect, self.manners.cancel);
+        let Self { links, hands, pen, .. } = self;
+        let link = &mut links[key.at as usize];
+        link.out.retain(|&other| other != place);
+        link.used_at = now;
+        // Not a byte since it was sent, for longer than a connection may take: the other end may be gone without
+        // a word, and another connection tells. Hurts only by a handshake where a host is slow and all alone.
+        link.retired |= out.ends_at.is_some() && link.heard_at <= out.at && now >= out.at + connect;
+        if out.ends_at.is_some() && cancel {
+            resp::cancel(pen, &hands.at(place).request.id);
+            link.connection.push(pen.split().freeze());
+            self.dirty.push(Who::Link(key));
+        }
+    }
+
+    /// The next answer of a host that a forward waits for.
+    pub fn next_answered(&mut self) -> Option<(Place, Outcome)> {
+        while let Some(&key) = self.heard_links.front() {
+            if let Some(answered) = self.read_link(key) {
+                return Some(answered);
+            }
+            self.heard_links.pop_front();
+        }
+        None
+    }
+
+    fn read_link(&mut self, key: Key) -> Option<(Place, Outcome)> {
+        loop {
+            let Self { links, hands, .. } = self;
+            let link = links.get_mut(key.at as usize).filter(|link| link.serial == key.serial)?;
+            let answer = match link.connection.parse(resp::next) {
+                Ok(Some(answer)) => answer,
+                Ok(None) => {
+                    if link.ended {
+                        self.counters.links_broken += 1;
+                        self.end_link(key.at as usize, End::Reset);
+                    }
+                    return None;
+                }
+                Err(Fault(what)) => {
+                    log::warn!("a host's connection is closed: {what}");
+                    self.counters.faults += 1;
+                    self.end_link(key.at as usize, End::Reset);
+                    return None;
+                }
+            };
+            let at = link.out.iter().position(|&place| hands.at(place).request.id == answer.id);
+            let (Some(at), Some(end)) = (at, door::end(&answer.word)) else {
+                self.counters.strays += 1;
+                continue;
+            };
+            let place = link.out.swap_remove(at);
+            link.used_at = self.now;
+            let note = door::note(&answer);
+            let source_wait = answer.field("fill").and_then(door::number).map_or(Duration::ZERO, door::span);
+            let load = door::load(&answer);
+            return Some((place, self.answered(place, end, note, source_wait, load, answer)));
+        }
+    }
+
+    fn answered(
+        &mut self,
+        place: Place,
+        mut end: End,
+        note: Note,
+        source_wait: Duration,
+        load: Load,
+        answer: resp::Answer,
+    ) -> Outcome {
+        if end == End::Returned && self.hands.at(place).owed.is_some() {
+            match self.returned(place, &answer.word, answer.body) {
+                Some(answer) => _ = self.pay(place, &answer),
+                None => end = End::Errored,
+            }
+        }
+        let out = self.hands.at(place).out.take().expect("an answer is matched to a forward that is out");
+        self.outcome(place, &out, end, note, source_wait, load)
+    }
+
+    /// The next forward that ended here.
+    pub fn next_ended(&mut self) -> Option<(Place, Outcome)> {
+        while let Some((place, serial, end)) = self.ended.pop_front() {
+            let out = self.hands.get(place).and_then(|hand| hand.out.take_if(|out| out.serial == serial));
+            if let Some(out) = out {
+                return Some((
+                    place,
+                    self.outcome(place, &out, end, Note::Untold, Duration::ZERO, Load::default()),
+                ));
+            }
+        }
+        None
+    }
+
+    fn outcome(
+        &mut self,
+        place: Place,
+        out: &Out,
+        end: End,
+        note: Note,
+        source_wait: Duration,
+        load: Load,
+    ) -> Outcome {
+        self.counters.ended(end, note);
+        let closed = self.hands.at(place).owed.is_none();
+        Outcome { hop: out.hop, end, spent: self.now - out.at, closed, note, source_wait, load }
+    }
+}
+
+/// Bytes of all fields of a forward; each is bounded by the page or by the settings' names.
+const FIELDS_MOST: usize = 1024;
+
+/// The tag alone, without the marks that HTTP puts around it.
+fn bare(tag: &[u8]) -> &[u8] {
+    let tag = tag.strip_prefix(b"W/").unwrap_or(tag);
+    tag.strip_prefix(b"\"").and_then(|tag| tag.strip_suffix(b"\"")).unwrap_or(tag)
+}
+
+/// A number as text, without an allocation.
+struct Digits(arrayvec::ArrayString<40>);
+
+impl Digits {
+    fn of(n: u128) -> Self {
+        let mut text = arrayvec::ArrayString::new();
+        write!(text, "{n}").expect("40 digits hold any number");
+        Self(text)
+    }
+
+    fn text(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -0,0 +1,78 @@
+//! GETs in hand, each in the place that the module gave it.
+
+use super::Key;
+use crate::protocol::fastcgi::Request;
+use myrtlegauge::interface::{HostIndex, Place};
+use std::time::Duration;
+
+#[derive(Default)]
+pub struct Hand {
+    /// The client's connection and the request there; none once answered or abandoned.
+    pub owed: Option<(Key, u16)>,
+    /// As it came; what goes on unchanged is taken from here.
+    pub request: Request,
+    pub ds: usize,
+    pub until: Duration,
+    pub hops: u32,
+    pub out: Option<Out>,
+}
+
+/// A forward that is out.
+#[derive(Clone, Copy)]
+pub struct Out {
+    pub hop: u32,
+    /// Tells it from all others.
+    pub serial: u64,
+    pub at: Duration,
+    pub until: Duration,
+    pub link: Option<Key>,
+    /// Where its last byte stands in the connection's stream; none while it waits for one to come up.
+    pub ends_at: Option<u64>,
+    pub wanted: Wanted,
+}
+
+/// What a forward asks for, in numbers.
+#[derive(Clone, Copy)]
+pub struct Wanted {
+    pub source: Option<HostIndex>,
+    pub keep: u8,
+    pub cap_ms: u128,
+    pub join: bool,
+    pub held_only: bool,
+    pub renew: bool,
+}
+
+#[derive(Default)]
+pub struct Hands {
+    places: Vec<Hand>,
+    pub owed: usize,
+}
+
+impl Hands {
+    pub fn open(&mut self, place: Place, hand: Hand) {
+        if self.places.len() <= place {
+            self.places.resize_with(place + 1, Hand::default);
+        }
+        self.owed += 1;
+        self.places[place] = hand;
+    }
+
+    pub fn at(&mut self, place: Place) -> &mut Hand {
+        &mut self.places[place]
+    }
+
+    pub fn get(&mut self, place: Place) -> Option<&mut Hand> {
+        self.places.get_mut(place)
+    }
+
+    /// Takes away what is owed, so that it can be paid once only.
+    pub fn settle(&mut self, place: Place) -> Option<(Key, u16)> {
+        let owed = self.places.get_mut(place)?.owed.take()?;
+        self.owed -= 1;
+        Some(owed)
+    }
+
+    pub fn clear(&mut self, place: Place) {
+        self.places[place] = Hand::default();
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -0,0 +1,41 @@
+//! Cache hosts, parents and the origin as they are connected to. A connection belongs to one life of one host.
+
+use super::{Dispatcher, Key};
+use crate::transport::Connection;
+use bytes::Bytes;
+use myrtlegauge::interface::{HostIndex, Place};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub struct Host {
+    pub name: Bytes,
+    pub address: SocketAddr,
+    /// Its connections, by place among all.
+    pub links: Vec<usize>,
+}
+
+pub struct Link {
+    pub connection: Connection<Dispatcher>,
+    pub serial: u32,
+    pub host: HostIndex,
+    pub up: bool,
+    /// When it came up, or, before that, when it was asked for.
+    pub since: Duration,
+    /// GETs with a forward out here, those that wait for it to come up included.
+    pub out: Vec<Place>,
+    /// Takes nothing new: its host has started anew, or something out here was given up in silence.
+    pub retired: bool,
+    pub ended: bool,
+    pub heard_at: Duration,
+    pub used_at: Duration,
+}
+
+impl Link {
+    pub fn key(&self, at: usize) -> Key {
+        Key { at: at as u32, serial: self.serial }
+    }
+
+    pub fn takes(&self, streams: usize) -> bool {
+        !self.retired && !self.ended && self.out.len() < streams
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -0,0 +1,168 @@
+//! Brings what was read to the decision module, one round for each turn of the loop, and its decisions back.
+
+mod answers;
+mod clients;
+mod clock;
+mod counters;
+mod desk;
+mod door;
+mod feed;
+mod forwards;
+mod hands;
+mod hosts;
+
+use crate::protocol::changelog;
+use crate::transport::{Accounts, Hub, Listener, Owner};
+use bytes::Bytes;
+use clock::Clock;
+pub use desk::{Desk, Room};
+use door::Door;
+use feed::Feed;
+use myrtlegauge::decide::{Round, Router};
+use myrtlegauge::interface::{ListKind, Purged, Values};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Names a connection; the serial tells it from an earlier one at the same place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key {
+    at: u32,
+    serial: u32,
+}
+
+/// What can stir in the loop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Listener,
+    Client(Key),
+    Link(Key),
+    Feed,
+}
+
+/// What is known at the start.
+pub struct Posting<'a> {
+    pub listen: SocketAddr,
+    pub changelog: SocketAddr,
+    pub known: changelog::Changes<'a>,
+    pub facts: &'a Values,
+    pub seed: u64,
+    pub room: Room,
+}
+
+pub struct Dispatcher {
+    router: Router,
+    desk: Desk,
+}
+
+impl Owner for Dispatcher {
+    type Key = Who;
+
+    fn stirred(&mut self, who: Who) {
+        self.desk.stirred.push(who);
+    }
+}
+
+impl Dispatcher {
+    pub fn start(hub: Hub<Self>, posting: Posting<'_>) -> Result<Self, String> {
+        let router = Router::new(posting.facts, posting.seed)?;
+        let accounts = Rc::new(Accounts::default());
+        let listener = Listener::open(&hub, posting.listen, Who::Listener, &accounts)
+            .map_err(|e| format!("can't listen on {}: {e}", posting.listen))?;
+        let feed = Feed::new(posting.changelog, 0);
+        let names = (Door::new(posting.facts)?, desk::Manners::read(posting.facts));
+        let desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
+        let mut started = Self { router, desk };
+        let now = started.desk.now;
+        started.router.round(now, &mut started.desk, |round| {
+            tell_changes(round, posting.known, ListKind::Kept);
+        });
+        Ok(started)
+    }
+
+    /// How long the loop may sleep.
+    pub fn patience(&self) -> Duration {
+        self.desk.next_due().saturating_sub(self.desk.clock.now())
+    }
+
+    /// All that one turn of the loop brought, as one round; and another at once where one ended forwards here.
+    pub fn turn(&mut self) {
+        let Self { router, desk } = self;
+        desk.read();
+        desk.write();
+        while desk.has_news() {
+            let began = Instant::now();
+            let now = desk.now;
+            router.round(now, desk, |round| {
+                while let Some(body) = round.desk().next_changes() {
+                    tell_polled(round, &body);
+                }
+                while let Some((place, outcome)) = round.desk().next_answered() {
+                    round.outcome(place, &outcome);
+                }
+                while let Some((place, outcome)) = round.desk().next_ended() {
+                    round.outcome(place, &outcome);
+                }
+                while let Some(place) = round.desk().next_abandoned() {
+                    round.abandoned(place);
+                }
+                let mut place = round.next_place();
+                while let Some(get) = round.desk().next_get(place) {
+                    round.take(get);
+                    place = round.next_place();
+                }
+                if round.desk().wakes() {
+                    round.woken();
+                }
+            });
+            desk.write();
+            let counters = &mut desk.counters;
+            counters.rounds += 1;
+            counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
+            desk.now = desk.clock.now();
+        }
+        desk.tidy();
+        desk.count_holds();
+    }
+
+    /// Takes what still comes for the time that a restart allows, then ends once nothing is in hand.
+    pub fn stop(&mut self) {
+        self.desk.stop();
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.desk.is_done()
+    }
+
+    pub fn report(&self) {
+        self.desk.report();
+    }
+}
+
+fn tell_polled(round: &mut Round<'_, Desk>, body: &Bytes) {
+    match serde_json::from_slice(body) {
+        Ok(changes) => tell_changes(round, changes, ListKind::Whole),
+        Err(e) => round.desk().feed_unreadable(&e),
+    }
+}
+
+/// Each numbered event once, in order; `whole` is what a whole list counts as.
+fn tell_changes(round: &mut Round<'_, Desk>, changes: changelog::Changes<'_>, whole: ListKind) {
+    for change in &changes.results {
+        if !round.desk().is_next(change.number) {
+            continue;
+        }
+        if let Some(fleet) = &change.fleet {
+            let entries = round.desk().listed(&fleet.endpoints);
+            round.listed(if fleet.snapshot { whole } else { ListKind::Changes }, &entries);
+        }
+        if let Some(purge) = &change.invalidate {
+            let object = purge.object.as_deref().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+            let named = object.map(Purged::Object).or(purge.bucket.map(Purged::Group));
+            if let Some((named, age)) = round.desk().purged(named, purge.unix_ms) {
+                round.purged(named, age);
+            }
+        }
+    }
+    round.desk().told_up_to(changes.last);
+}
--- /dev/null
+++ b/crates/dispatcher/src/transport/accounts.rs
@@ -0,0 +1,52 @@
+//! What all connections together hold: descriptors and buffered bytes, with their peaks.
+
+use std::cell::Cell;
+
+#[derive(Default)]
+pub struct Accounts {
+    descriptors: Gauge,
+    buffered: Gauge,
+    pub bytes_in: Cell<u64>,
+    pub bytes_out: Cell<u64>,
+}
+
+/// A level and the highest that it has been.
+#[derive(Default)]
+pub struct Gauge {
+    level: Cell<usize>,
+    peak: Cell<usize>,
+}
+
+impl Gauge {
+    pub fn add(&self, n: usize) {
+        self.level.set(self.level.get() + n);
+        self.peak.set(self.peak.get().max(self.level.get()));
+    }
+
+    pub fn take(&self, n: usize) {
+        debug_assert!(self.level.get() >= n, "more given back than was held");
+        self.level.set(self.level.get().saturating_sub(n));
+    }
+
+    pub fn level(&self) -> usize {
+        self.level.get()
+    }
+
+    pub fn peak(&self) -> usize {
+        self.peak.get()
+    }
+}
+
+impl Accounts {
+    pub fn descriptors(&self) -> &Gauge {
+        &self.descriptors
+    }
+
+    pub fn buffered(&self) -> &Gauge {
+        &self.buffered
+    }
+
+    pub fn count(counter: &Cell<u64>, n: usize) {
+        counter.set(counter.get() + n as u64);
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/transport/connection.rs
@@ -0,0 +1,197 @@
+//! One connection: a socket that never blocks, what came in and was not yet read by a parser, and what waits to go
+//! out. Its callback in the loop only tells the owner that it stirred.
+
+use super::{Accounts, Hub, Owner};
+use bytes::{Bytes, BytesMut};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Bytes read from one connection in one turn, so that one that is never dry can't keep the others waiting.
+const READ_MOST: usize = 256 * 1024;
+/// Pieces handed to the system in one write.
+const PIECES: usize = 32;
+
+/// What a read came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// All that had come was read.
+    Dry,
+    /// More may be there.
+    More,
+    /// The other side has closed or broken the connection.
+    Ended,
+}
+
+pub struct Connection<O: Owner> {
+    hub: Hub<O>,
+    stream: Rc<TcpStream>,
+    registration: RegistrationToken,
+    accounts: Rc<Accounts>,
+    inbound: BytesMut,
+    outbound: VecDeque<Bytes>,
+    /// Bytes ever handed over, and ever taken by the system.
+    pushed: u64,
+    flushed: u64,
+    up: bool,
+}
+
+impl<O: Owner> Connection<O> {
+    pub fn accepted(
+        hub: &Hub<O>,
+        stream: TcpStream,
+        key: O::Key,
+        accounts: &Rc<Accounts>,
+    ) -> io::Result<Self> {
+        Self::register(hub, stream, key, accounts, true)
+    }
+
+    /// Starts to connect; `is_up` tells when it has come about.
+    pub fn opening(hub: &Hub<O>, to: SocketAddr, key: O::Key, accounts: &Rc<Accounts>) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.raw_os_error() != Some(IN_PROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
+            _ => Self::register(hub, socket.into(), key, accounts, false),
+        }
+    }
+
+    fn register(
+        hub: &Hub<O>,
+        stream: TcpStream,
+        key: O::Key,
+        accounts: &Rc<Accounts>,
+        up: bool,
+    ) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
+        let registration = hub
+            .insert_source(source, move |_, _, owner: &mut O| {
+                owner.stirred(key);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| e.error)
+            .map_err(io::Error::other)?;
+        accounts.descriptors().add(1);
+        Ok(Self {
+            hub: hub.clone(),
+            stream,
+            registration,
+            accounts: Rc::clone(accounts),
+            inbound: BytesMut::new(),
+            outbound: VecDeque::new(),
+            pushed: 0,
+            flushed: 0,
+            up,
+        })
+    }
+
+    /// Whether the connection has come about; an error tells that it never will.
+    pub fn is_up(&mut self) -> io::Result<bool> {
+        if !self.up {
+            if let Some(e) = self.stream.take_error()? {
+                return Err(e);
+            }
+            self.up = self.stream.peer_addr().is_ok();
+        }
+        Ok(self.up)
+    }
+
+    /// Reads what has come, by way of a buffer that all connections share.
+    pub fn read(&mut self, shared: &mut [u8]) -> Reading {
+        let mut read = 0;
+        while read < READ_MOST {
+            match (&*self.stream).read(shared) {
+                Ok(0) => return Reading::Ended,
+                Ok(n) => {
+                    read += n;
+                    self.inbound.extend_from_slice(&shared[..n]);
+                    self.accounts.buffered().add(n);
+                    Accounts::count(&self.accounts.bytes_in, n);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Reading::Ended,
+            }
+        }
+        Reading::More
+    }
+
+    /// Lets a parser take from what came in; what it took is no longer counted as held here.
+    pub fn parse<T>(&mut self, parser: impl FnOnce(&mut BytesMut) -> T) -> T {
+        let before = self.inbound.len();
+        let parsed = parser(&mut self.inbound);
+        self.accounts.buffered().take(before - self.inbound.len());
+        parsed
+    }
+
+    pub fn push(&mut self, bytes: Bytes) {
+        if !bytes.is_empty() {
+            self.pushed += bytes.len() as u64;
+            self.accounts.buffered().add(bytes.len());
+            self.outbound.push_back(bytes);
+        }
+    }
+
+    /// Writes what the system takes; an error tells that the connection is over.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while !self.outbound.is_empty() {
+            let mut pieces = [IoSlice::new(&[]); PIECES];
+            for (piece, bytes) in pieces.iter_mut().zip(&self.outbound) {
+                *piece = IoSlice::new(bytes);
+            }
+            let pieces = &pieces[..self.outbound.len().min(PIECES)];
+            match (&*self.stream).write_vectored(pieces) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => self.sent(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    fn sent(&mut self, mut n: usize) {
+        self.flushed += n as u64;
+        self.accounts.buffered().take(n);
+        Accounts::count(&self.accounts.bytes_out, n);
+        while let Some(first) = self.outbound.front_mut().filter(|_| n > 0) {
+            let part = n.min(first.len());
+            n -= part;
+            if part == first.len() {
+                self.outbound.pop_front();
+            } else {
+                let _ = first.split_to(part);
+            }
+        }
+    }
+
+    pub fn pushed(&self) -> u64 {
+        self.pushed
+    }
+
+    pub fn flushed(&self) -> u64 {
+        self.flushed
+    }
+
+    pub fn waiting(&self) -> usize {
+        (self.pushed - self.flushed) as usize
+    }
+}
+
+/// What Linux answers to a connect that goes on behind.
+const IN_PROGRESS: i32 = 115;
+
+impl<O: Owner> Drop for Connection<O> {
+    fn drop(&mut self) {
+        self.hub.remove(self.registration);
+        self.accounts.buffered().take(self.inbound.len() + self.waiting());
+        self.accounts.descriptors().take(1);
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/transport/listener.rs
@@ -0,0 +1,52 @@
+//! The listening socket.
+
+use super::{Accounts, Hub, Owner};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// Connections that the system keeps ready; a restart brings all clients at once.
+const BACKLOG: i32 = 1024;
+
+pub struct Listener {
+    socket: Rc<TcpListener>,
+}
+
+impl Listener {
+    /// Listens at once, also where a process that has just ended did.
+    pub fn open<O: Owner>(
+        hub: &Hub<O>,
+        at: SocketAddr,
+        key: O::Key,
+        accounts: &Accounts,
+    ) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        let socket = Rc::new(TcpListener::from(socket));
+        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Edge);
+        hub.insert_source(source, move |_, _, owner: &mut O| {
+            owner.stirred(key);
+            Ok(PostAction::Continue)
+        })
+        .map_err(|e| io::Error::other(e.error))?;
+        accounts.descriptors().add(1);
+        Ok(Self { socket })
+    }
+
+    /// The next connection that waits, if any.
+    pub fn accept(&self) -> io::Result<Option<TcpStream>> {
+        loop {
+            match self.socket.accept() {
+                Ok((stream, _)) => return Ok(Some(stream)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -98,8 +98,8 @@
     origin: Option<HostIndex>,
     fills: Window<SLOTS>,
     busy: bool,
-    /// By group and object (none: the whole group), when it was purged.
-    purges: BTreeMap<(u64, Option<u64>), Duration>,
+    /// By object or group, when it was purged.
+    purges: BTreeMap<Purged, Duration>,
     /// By key, when a copy of it was last returned; zero: only asked for.
     seen: Memory<Duration>,
     /// By object, where sizes are untold, the sending time of a part as learnt, s.
@@ -330,7 +330,8 @@
     }
 
     fn purged_at(&self, get: &Get) -> Option<Duration> {
-        [Some(get.object), None].into_iter().filter_map(|o| self.purges.get(&(get.group, o))).max().copied()
+        let named = [Purged::Object(get.object), Purged::Group(get.group)];
+        named.iter().filter_map(|named| self.purges.get(named)).max().copied()
     }
 
     /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a
@@ -686,9 +687,9 @@
         r.origin = r.hosts.iter().position(|h| h.on() && h.entry.kind == r.site.origin_kind);
     }
 
-    pub fn purged(&mut self, group: u64, object: Option<u64>, age: Duration) {
+    pub fn purged(&mut self, named: Purged, age: Duration) {
         let at = self.now.saturating_sub(age);
-        let known = self.r.purges.entry((group, object)).or_insert(at);
+        let known = self.r.purges.entry(named).or_insert(at);
         *known = at.max(*known);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,6 +95,13 @@
     pub units: f64,
 }
 
+/// What a purge names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Purged {
+    Object(u64),
+    Group(u64),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
     Changes,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -47,13 +47,13 @@
 #[test]
 fn no_copy_older_than_a_purge_of_the_object_or_its_group() {
     let mut day = Day::new(settings());
-    day.round(|round| round.purged(0, Some(1), ms(0)));
+    day.round(|round| round.purged(Purged::Object(1), ms(0)));
     day.trace.say("just purged: a tiny limit, for zero would mean any age");
     day.take(0, 1);
     day.take(0, 2);
     day.after(1000);
     day.take(0, 1);
-    day.round(|round| round.purged(0, None, ms(80)));
+    day.round(|round| round.purged(Purged::Group(0), ms(80)));
     day.trace.say("the whole group, told 80 ms late");
     day.take(1, 2);
     day.after(7000);
