What waits for a connection is decided anew when its host drains or its object is purged

Found by reading, shown by a trace test with a host whose queue is full: a forward decided before a drain was told went out when its connection came up, up to 400 ms later, past a grace of 250 ms (link_up in forwards.rs wrote all that waited). It now ends as never sent and the module decides again. Lines of the list may leave fields out; an answer of the change log that can't be read no longer repeats without a pause; a lost poll is found after 0.75 s, not 2 s, for what is in the change log counts as told. Requests in hand count toward the bound at which no more are read.

--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The program around the router: what it is told at the start, its loop, its signals.
 
 mod start;
+mod usage;
 
 pub use start::Told;
 
@@ -15,7 +16,7 @@
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
         .map_err(|e| format!("signals can't be watched: {e}"))?;
     let watched = turns.handle().insert_source(signals, |signal, _, dispatcher| match signal.signal() {
-        Signal::SIGUSR1 => dispatcher.report(),
+        Signal::SIGUSR1 => report(dispatcher),
         _ => dispatcher.stop(),
     });
     watched.map_err(|e| format!("signals can't be watched: {e}"))?;
@@ -25,6 +26,11 @@
         turns.dispatch(dispatcher.patience(), &mut dispatcher).map_err(|e| format!("the event loop: {e}"))?;
         dispatcher.turn();
     }
-    dispatcher.report();
+    report(&dispatcher);
     Ok(())
 }
+
+fn report(dispatcher: &Dispatcher) {
+    dispatcher.report();
+    log::info!("{}", usage::line(dispatcher.taken()));
+}
--- a/crates/dispatcher/src/protocol/changelog.rs
+++ b/crates/dispatcher/src/protocol/changelog.rs
@@ -41,24 +41,17 @@
 pub struct Endpoint<'a> {
     #[serde(borrow)]
     pub name: Cow<'a, str>,
-    #[serde(borrow)]
+    #[serde(borrow, default)]
     pub address: Cow<'a, str>,
     #[serde(borrow, default)]
     pub zone: Cow<'a, str>,
     #[serde(borrow, default, rename = "type")]
     pub kind: Cow<'a, str>,
-    #[serde(default)]
-    pub group: u64,
+    pub group: Option<u64>,
     #[serde(borrow)]
     pub status: Cow<'a, str>,
-    #[serde(default = "one")]
-    pub weight: f64,
-    #[serde(default)]
-    pub since_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
+    pub weight: Option<f64>,
+    pub since_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
--- a/crates/dispatcher/src/protocol/fastcgi.rs
+++ b/crates/dispatcher/src/protocol/fastcgi.rs
@@ -46,6 +46,8 @@
     pub body: Bytes,
     /// It broke a bound or could not be read; it is owed an answer all the same.
     pub spoilt: bool,
+    /// Bytes that it holds.
+    pub long: usize,
 }
 
 /// What a record came to.
@@ -76,6 +78,11 @@
 }
 
 impl Reader {
+    /// Bytes of requests that are not yet whole.
+    pub fn long(&self) -> usize {
+        self.partial.iter().map(|partial| partial.params.len() + partial.body.len()).sum()
+    }
+
     /// Nothing is begun.
     pub fn is_empty(&self) -> bool {
         self.partial.is_empty()
@@ -165,8 +172,9 @@
 impl Partial {
     fn whole(self) -> Request {
         let (params, body) = (self.params.freeze(), self.body.freeze());
-        let mut request =
-            Request { number: self.number, keep_conn: self.keep_conn, body, ..Request::default() };
+        let long = params.len() + body.len();
+        let (number, keep_conn) = (self.number, self.keep_conn);
+        let mut request = Request { number, keep_conn, body, long, ..Request::default() };
         let read = pairs(params, |name, value| {
             let field = match &name[..] {
                 b"SCRIPT_NAME" => &mut request.path,
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -1,6 +1,6 @@
 //! The clients' side of the desk: requests in, answers out.
 
-use super::clients::{Answer, Client};
+use super::clients::Answer;
 use super::desk::Desk;
 use super::hands::Hand;
 use super::{Key, Who};
@@ -13,16 +13,16 @@
     /// Reads on with one client until a GET is whole; none once nothing more has come.
     pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
         loop {
-            let client = self.client(key)?;
-            let Client { connection, reader, numbers, .. } = client;
-            match connection.parse(|inbound| reader.next(inbound, numbers)) {
+            let Self { clients, accounts, .. } = self;
+            let client = clients.get_mut(key.at as usize).filter(|client| client.serial == key.serial)?;
+            match client.next(accounts.requests()) {
                 Ok(Some(Message::Request(request))) => {
                     if let Some(get) = self.asked(key, place, request) {
                         return Some(get);
                     }
                 }
                 Ok(Some(Message::Reply(bytes))) => {
-                    connection.push(bytes);
+                    client.connection.push(bytes);
                     self.dirty.push(Who::Client(key));
                 }
                 Ok(Some(Message::Abort(number))) => {
@@ -68,7 +68,19 @@
         self.client(key)?.open(number, place);
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
-        self.hands.open(place, Hand { owed, request, ds: get.ds, until, ..Hand::default() });
+        self.accounts.requests().add(request.long);
+        self.hands.open(
+            place,
+            Hand {
+                owed,
+                request,
+                ds: get.ds,
+                object: get.object,
+                group: get.group,
+                until,
+                ..Hand::default()
+            },
+        );
         Some(get)
     }
 
@@ -113,6 +125,7 @@
     /// A client that is gone waits for nothing.
     fn drop_client(&mut self, key: Key) {
         let client = self.clients.remove(key.at as usize);
+        self.accounts.requests().take(client.reader.long());
         for &(_, place) in &client.open {
             self.abandon(place);
         }
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -1,8 +1,9 @@
 //! Connections of clients, and the answers that go out on them.
 
 use super::{Dispatcher, Key};
-use crate::protocol::fastcgi::{self, Reader};
-use crate::transport::Connection;
+use crate::protocol::Fault;
+use crate::protocol::fastcgi::{self, Message, Reader};
+use crate::transport::{Connection, Gauge};
 use bytes::{Bytes, BytesMut};
 use myrtlegauge::interface::Place;
 use std::fmt::Write;
@@ -59,6 +60,16 @@
         self.numbers.push(number);
     }
 
+    /// The next message of what came; requests that are not yet whole are counted as held.
+    pub fn next(&mut self, requests: &Gauge) -> Result<Option<Message>, Fault> {
+        let before = self.reader.long();
+        let Self { connection, reader, numbers, .. } = self;
+        let next = connection.parse(|inbound| reader.next(inbound, numbers));
+        requests.add(self.reader.long());
+        requests.take(before);
+        next
+    }
+
     /// The request is over; none if it was before.
     pub fn close(&mut self, number: u16) -> Option<Place> {
         let at = self.open.iter().position(|&(open, _)| open == number)?;
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -201,10 +201,16 @@
         }
     }
 
+    /// No room for more answers until some have gone out.
     pub fn is_full(&self) -> bool {
         self.accounts.buffered().level() > self.most_buffered
     }
 
+    /// No room for more requests either.
+    pub fn is_full_of_requests(&self) -> bool {
+        self.accounts.buffered().level() + self.accounts.requests().level() > self.most_buffered
+    }
+
     /// Counts what could not be read or used, and tells of it now and then.
     pub fn fault(&mut self, what: Arguments<'_>) {
         self.counters.faults += 1;
@@ -217,7 +223,7 @@
     }
 
     pub fn next_due(&self) -> Duration {
-        if !self.stirred.is_empty() && !self.is_full() {
+        if !self.stirred.is_empty() && !self.is_full_of_requests() {
             return Duration::ZERO;
         }
         let first = self.dues.peek().map_or(Duration::MAX, |Reverse((at, _))| *at);
@@ -272,13 +278,14 @@
         let accounts = &self.accounts;
         log::info!(
             "{}\nin hand: {} GETs, {} clients, {} connections to hosts\n\
-             peaks: {} connections, {} bytes in buffers; bytes in {} out {}",
+             peaks: {} connections, {} bytes in buffers, {} in requests; bytes in {} out {}",
             self.counters,
             self.hands.owed,
             self.clients.len(),
             self.links.len(),
             accounts.descriptors().peak(),
             accounts.buffered().peak(),
+            accounts.requests().peak(),
             accounts.bytes_in.get(),
             accounts.bytes_out.get()
         );
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, Get, HostIndex, Load, Note, Standing, Values};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 pub struct Door {
@@ -66,33 +65,33 @@
         (index, true)
     }
 
-    pub fn entry(
-        &self,
-        host: HostIndex,
-        told: &Endpoint<'_>,
-        clock: &Clock,
-    ) -> Result<(Entry, SocketAddr), String> {
-        let place = |list: &[String], name: &str| list.iter().position(|known| known == name);
-        let wrong = |what: &str| format!("host {} has {what}", told.name);
+    /// A line of the list, with what is wrong with it. What it leaves out is as it was known; a host that can't be
+    /// placed is taken as gone.
+    pub fn entry(&self, known: &Entry, told: &Endpoint<'_>, clock: &Clock) -> (Entry, Option<&'static str>) {
+        let place = |list: &[String], name: &str, known: usize| match name {
+            "" => Some(known),
+            _ => list.iter().position(|listed| listed == name),
+        };
         let standing = match &*told.status {
-            "active" => Standing::On,
-            "leaving" => Standing::Draining,
-            "left" => Standing::Gone,
-            other => return Err(wrong(&format!("the unknown status {other:?}"))),
+            "active" => Ok(Standing::On),
+            "leaving" => Ok(Standing::Draining),
+            "left" => Ok(Standing::Gone),
+            _ => Err("a status that is not known"),
         };
+        let zone = place(&self.zones, &told.zone, known.zone).ok_or("a zone that is not in the settings");
+        let kind = place(&self.kinds, &told.kind, known.kind).ok_or("a type that is not in the settings");
+        let fault = standing.err().or(zone.err()).or(kind.err());
         let entry = Entry {
-            host,
+            host: known.host,
             mark: mark(&told.name),
-            standing,
-            started: clock.span(told.since_ms),
-            zone: place(&self.zones, &told.zone)
-                .ok_or_else(|| wrong("a zone that is not in the settings"))?,
-            cell: told.group,
-            kind: place(&self.kinds, &told.kind)
-                .ok_or_else(|| wrong("a type that is not in the settings"))?,
-            units: told.weight,
+            standing: standing.ok().filter(|_| fault.is_none()).unwrap_or(Standing::Gone),
+            started: told.since_ms.map_or(known.started, |at| clock.span(at)),
+            zone: zone.unwrap_or(known.zone),
+            cell: told.group.unwrap_or(known.cell),
+            kind: kind.unwrap_or(known.kind),
+            units: told.weight.unwrap_or(known.units),
         };
-        Ok((entry, told.address.parse().map_err(|_| wrong("an address that can't be read"))?))
+        (entry, fault)
     }
 }
 
--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -8,19 +8,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long an answer may wait for news: short, so that a connection gone silent is found soon.
-const WAIT: Duration = Duration::from_millis(1000);
+/// How long an answer may wait for news: short, for a connection gone silent tells nothing, and what is in the
+/// change log counts as told.
+const WAIT: Duration = Duration::from_millis(500);
 /// After this much more the connection is given up.
-const PATIENCE: Duration = Duration::from_millis(1000);
-/// Pause after a loss: quick, and no flood where nobody listens.
-const AGAIN: Duration = Duration::from_millis(200);
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Pause after a loss or an answer that brought nothing too soon: no flood, and far under any grace on drains.
+const AGAIN: Duration = Duration::from_millis(50);
 
 pub struct Feed {
     address: SocketAddr,
     host: String,
     connection: Option<Connection<Dispatcher>>,
     asked: bool,
-    /// When to give up or to try again.
+    asked_at: Duration,
+    /// When to give up or to ask again.
     pub due: Duration,
     /// The last event that was taken.
     pub last: u64,
@@ -28,7 +30,8 @@
 
 impl Feed {
     pub fn new(address: SocketAddr, last: u64) -> Self {
-        Self { address, host: address.to_string(), connection: None, asked: false, due: Duration::ZERO, last }
+        let (asked_at, due) = (Duration::ZERO, Duration::ZERO);
+        Self { address, host: address.to_string(), connection: None, asked: false, asked_at, due, last }
     }
 
     /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
@@ -37,13 +40,19 @@
         if overdue {
             self.lose(now);
         }
-        if self.connection.is_none() && now >= self.due {
+        if now < self.due || self.asked {
+            return overdue;
+        }
+        if self.connection.is_none() {
             self.connection = Connection::opening(hub, self.address, Who::Feed, accounts).ok();
-            (self.asked, self.due) = (false, now + AGAIN);
+            if self.connection.is_none() {
+                self.lose(now);
+                return true;
+            }
         }
-        if let Some(connection) = self.connection.as_mut().filter(|_| !self.asked) {
+        if let Some(connection) = &mut self.connection {
             connection.push(changelog::poll(&self.host, self.last, WAIT.as_millis()));
-            (self.asked, self.due) = (true, now + WAIT + PATIENCE);
+            (self.asked, self.asked_at, self.due) = (true, now, now + WAIT + PATIENCE);
             if matches!(connection.is_up(), Ok(true)) && connection.flush().is_err() {
                 self.lose(now);
                 return true;
@@ -57,6 +66,13 @@
         (self.asked, self.due) = (false, now + AGAIN);
     }
 
+    /// After an answer without news: asks again at once, unless the answer had not waited for any.
+    pub fn brought_nothing(&mut self, now: Duration) {
+        if now < self.asked_at + WAIT / 2 {
+            self.due = now + AGAIN;
+        }
+    }
+
     /// Reads and writes what can be; a loss is told.
     pub fn stir(&mut self, shared: &mut [u8], now: Duration) -> Result<(), Fault> {
         let Some(connection) = &mut self.connection else { return Ok(()) };
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -26,6 +26,7 @@
         self.forwards += 1;
         let serial = self.forwards;
         let wanted = Wanted {
+            host: f.host,
             source: Some(f.source).filter(|&source| source != f.host),
             keep: f.keep,
             // Zero would mean the fresh time, so that a limit is never rounded to it.
@@ -74,6 +75,7 @@
         let hand = self.hands.at(place);
         let clear = hand.owed.is_none() && hand.out.is_none();
         self.counters.must(clear, "a GET that is over has no forward out and its answer");
+        self.accounts.requests().take(self.hands.at(place).request.long);
         self.hands.clear(place);
     }
 
@@ -102,7 +104,7 @@
         }
         let (serial, at) = (self.next_serial(), self.links.vacant_key());
         let key = Key { at: at as u32, serial };
-        let address = self.hosts[host].address;
+        let address = self.hosts[host].address.ok_or(End::NoConnection)?;
         let opening = Connection::opening(&self.hub, address, Who::Link(key), &self.accounts);
         // What is amiss on this side is not held against the host.
         let here =
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -12,6 +12,8 @@
     /// As it came; what goes on unchanged is taken from here.
     pub request: Request,
     pub ds: usize,
+    pub object: u64,
+    pub group: u64,
     pub until: Duration,
     pub hops: u32,
     pub out: Option<Out>,
@@ -34,6 +36,7 @@
 /// What a forward asks for, in numbers.
 #[derive(Clone, Copy)]
 pub struct Wanted {
+    pub host: HostIndex,
     pub source: Option<HostIndex>,
     pub keep: u8,
     pub cap_ms: u128,
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -3,13 +3,15 @@
 use super::{Dispatcher, Key};
 use crate::transport::Connection;
 use bytes::Bytes;
-use myrtlegauge::interface::{HostIndex, Place};
+use myrtlegauge::interface::{Entry, HostIndex, Place};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 pub struct Host {
     pub name: Bytes,
-    pub address: SocketAddr,
+    /// As the list told it last.
+    pub entry: Entry,
+    pub address: Option<SocketAddr>,
     /// Its connections, by place among all.
     pub links: Vec<usize>,
 }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -136,6 +136,11 @@
         self.desk.is_done()
     }
 
+    /// GETs taken so far.
+    pub fn taken(&self) -> u64 {
+        self.desk.counters.taken
+    }
+
     /// Bytes in all buffers.
     pub fn buffered(&self) -> usize {
         self.desk.accounts.buffered().level()
@@ -147,10 +152,12 @@
 }
 
 fn tell_polled(round: &mut Round<'_, Desk>, body: &Bytes) {
+    let before = round.desk().last_change();
     match serde_json::from_slice(body) {
         Ok(changes) => tell_changes(round, changes, ListKind::Whole),
-        Err(e) => round.desk().feed_unreadable(&e),
+        Err(e) => round.desk().fault(format_args!("an answer of the change log can't be read: {e}")),
     }
+    round.desk().polled(before);
 }
 
 /// Each numbered event once, in order; `whole` is what a whole list counts as.
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -1,6 +1,7 @@
 //! The change log's news, as the module takes it: each event once, in order.
 
 use super::desk::Desk;
+use super::hands::{Hand, Out};
 use super::hosts::Host;
 use crate::protocol::changelog::Endpoint;
 use bytes::Bytes;
@@ -24,8 +25,15 @@
         }
     }
 
-    pub fn feed_unreadable(&mut self, fault: &serde_json::Error) {
-        self.fault(format_args!("an answer of the change log can't be read: {fault}"));
+    pub fn last_change(&self) -> u64 {
+        self.feed.last
+    }
+
+    /// An answer was taken; `before` was the last event until then.
+    pub fn polled(&mut self, before: u64) {
+        if self.feed.last == before {
+            self.feed.brought_nothing(self.now);
+        }
     }
 
     /// Whether an event has not been taken yet.
@@ -51,7 +59,12 @@
             self.fault(format_args!("a purge names neither an object nor a group"));
         }
         self.counters.purges += 1;
-        Some((named?, self.now.saturating_sub(self.clock.span(unix_ms))))
+        let named = named?;
+        self.decide_anew(|hand, _| match named {
+            Purged::Object(object) => hand.object == object,
+            Purged::Group(group) => hand.group == group,
+        });
+        Some((named, self.now.saturating_sub(self.clock.span(unix_ms))))
     }
 
     /// The list's lines as entries; a host that started anew gets new connections.
@@ -59,19 +72,26 @@
         let mut entries = Vec::with_capacity(lines.len());
         for line in lines {
             let (index, new) = self.door.host(&line.name);
-            let (entry, address) = match self.door.entry(index, line, &self.clock) {
-                Ok(read) => read,
-                Err(fault) => {
-                    // Known as gone, so that indices and hosts go together.
-                    self.fault(format_args!("{fault}"));
-                    (Entry { host: index, ..Entry::default() }, ([127, 0, 0, 1], 0).into())
-                }
-            };
-            let name = Bytes::copy_from_slice(line.name.as_bytes());
             if new {
-                self.hosts.push(Host { name, address, links: Vec::new() });
+                let name = Bytes::copy_from_slice(line.name.as_bytes());
+                self.hosts.push(Host {
+                    name,
+                    entry: Entry { host: index, units: 1.0, ..Entry::default() },
+                    address: None,
+                    links: Vec::new(),
+                });
+            }
+            let Host { entry: known, address, .. } = &self.hosts[index];
+            let (entry, fault) = self.door.entry(known, line, &self.clock);
+            let address = line.address.parse().ok().or(*address);
+            if let Some(what) = fault {
+                self.fault(format_args!("host {} has {what}: taken as gone", line.name));
+            }
+            self.hosts[index].entry = entry;
+            self.new_life(index, address);
+            if entry.standing != Standing::On {
+                self.decide_anew(|_, out| out.wanted.host == index || out.wanted.source == Some(index));
             }
-            self.new_life(index, &entry, address);
             entries.push(entry);
         }
         self.listed |= !entries.is_empty();
@@ -79,15 +99,15 @@
     }
 
     /// Ends connections of a process that is no more: this host's earlier one, or another's at the same address.
-    fn new_life(&mut self, index: HostIndex, entry: &Entry, address: SocketAddr) {
+    fn new_life(&mut self, index: HostIndex, address: Option<SocketAddr>) {
         let moved = std::mem::replace(&mut self.hosts[index].address, address) != address;
+        let entry = self.hosts[index].entry;
         for host in 0..self.hosts.len() {
             let own = host == index;
             if !own && (self.hosts[host].address != address || entry.standing != Standing::On) {
                 continue;
             }
-            let links = self.hosts[host].links.clone();
-            for at in links {
+            for at in self.hosts[host].links.clone() {
                 let link = &mut self.links[at];
                 if !own || moved || link.up && link.since < entry.started {
                     self.end_link(at, End::Reset);
@@ -97,4 +117,24 @@
             }
         }
     }
+
+    /// What still waits for a connection was decided before this news: it never ran and is decided again. Guards
+    /// drains and purges, whose graces may be shorter than a connection takes. It hurts by one forward of a GET.
+    fn decide_anew(&mut self, concerned: impl Fn(&Hand, &Out) -> bool) {
+        for (_, link) in &mut self.links {
+            if link.up {
+                continue;
+            }
+            let (hands, ended) = (&mut self.hands, &mut self.ended);
+            link.out.retain(|&place| {
+                let hand = hands.at(place);
+                let out = hand.out.filter(|out| concerned(hand, out));
+                if let Some(out) = out {
+                    hand.out = Some(Out { link: None, ..out });
+                    ended.push_back((place, out.serial, End::NeverSent));
+                }
+                out.is_none()
+            });
+        }
+    }
 }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -41,7 +41,7 @@
 
     /// True: there is more to read, now or once buffers have room.
     fn stir_client(&mut self, key: Key) -> bool {
-        let full = self.is_full();
+        let full = self.is_full_of_requests();
         let Self { clients, shared, now, .. } = self;
         let client = clients.get_mut(key.at as usize).filter(|client| client.serial == key.serial);
         let Some(client) = client else { return false };
--- a/crates/dispatcher/src/transport/accounts.rs
+++ b/crates/dispatcher/src/transport/accounts.rs
@@ -1,4 +1,4 @@
-//! What all connections together hold: descriptors and buffered bytes, with their peaks.
+//! What all connections together hold: descriptors, buffered bytes and those of requests, with their peaks.
 
 use std::cell::Cell;
 
@@ -6,6 +6,7 @@
 pub struct Accounts {
     descriptors: Gauge,
     buffered: Gauge,
+    requests: Gauge,
     pub bytes_in: Cell<u64>,
     pub bytes_out: Cell<u64>,
 }
@@ -46,6 +47,11 @@
         &self.buffered
     }
 
+    /// Bytes of requests that are in hand or not yet whole.
+    pub fn requests(&self) -> &Gauge {
+        &self.requests
+    }
+
     pub fn count(counter: &Cell<u64>, n: usize) {
         counter.set(counter.get() + n as u64);
     }
--- a/crates/dispatcher/src/transport/mod.rs
+++ b/crates/dispatcher/src/transport/mod.rs
@@ -5,7 +5,7 @@
 mod connection;
 mod listener;
 
-pub use accounts::Accounts;
+pub use accounts::{Accounts, Gauge};
 pub use connection::{Connection, Reading};
 pub use listener::Listener;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use myrtlegauge::interface::*;
 use myrtlegauge_dispatcher::routing::{Dispatcher, Posting, Room};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
 use std::fmt::{Arguments, Write as _};
 use std::io::{Read, Write};
@@ -187,6 +188,7 @@
     listener: Option<TcpListener>,
     address: SocketAddr,
     streams: Vec<Stream>,
+    clogged: Option<(Socket, Vec<TcpStream>)>,
 }
 
 /// A connection there, what came and was not yet understood, and what still has to go out.
@@ -208,7 +210,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
-        Self { name, listener: Some(listener), address, streams: Vec::new() }
+        Self { name, listener: Some(listener), address, streams: Vec::new(), clogged: None }
     }
 }
 
@@ -301,6 +303,18 @@
         host.listener = host.listener.take().filter(|_| !dead);
     }
 
+    /// From now on no connection to a host comes up, nor is one refused: its queue is full.
+    pub fn clog(&mut self, host: &str) {
+        self.close(host, true);
+        let host = self.host(host);
+        let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        full.set_reuse_address(true).unwrap();
+        full.bind(&host.address.into()).unwrap();
+        full.listen(0).unwrap();
+        let waiting = (0..3).flat_map(|_| TcpStream::connect_timeout(&host.address, ms(20)));
+        host.clogged = Some((full, waiting.collect()));
+    }
+
     /// A host's line of the list.
     pub fn line(&mut self, host: &str, status: &str, since: u64) -> Value {
         line(self.host(host), status, since)
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -68,6 +68,31 @@
     assert_snapshot!(rig.trace);
 }
 
+#[test]
+fn a_connection_that_does_not_come_up_proves_that_nothing_ran() {
+    let mut rig = Rig::new();
+    rig.clog("origin-5");
+    rig.get(1, "confirm", &[]);
+    rig.until(1);
+    rig.say("a parent passes it on after the time that a connection may take");
+    assert_snapshot!(rig.trace);
+}
+
+#[test]
+fn what_waits_for_a_connection_is_decided_anew_when_its_host_drains() {
+    let mut told = settings();
+    told["limits"]["connect_timeout_ms"] = json!(60_000.0);
+    let mut rig = Rig::with(told, Room { descriptors: 1024, memory: 192 << 20 });
+    rig.clog("cache-0");
+    rig.get(1, "video", &[]);
+    rig.settle(100);
+    rig.say("nothing was read yet; cache-0 drains, told by its name and status alone");
+    let drains = json!({"seq": 2, "fleet": {"endpoints": [{"name": "cache-0", "status": "leaving"}]}});
+    rig.changes(&json!({"seq": 2, "results": [drains]}).to_string());
+    rig.until(1);
+    assert_snapshot!(rig.trace);
+}
+
 #[test]
 fn what_a_client_no_longer_waits_for_is_called_off() {
     let mut rig = Rig::new();
