Socket tests listen on a port of the system's choice

Seen once in eight runs beside four busy loops: a port that had been free was another test's by the time the dispatcher listened there.

--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -21,7 +21,8 @@
     });
     watched.map_err(|e| format!("signals can't be watched: {e}"))?;
     let mut dispatcher = Dispatcher::start(turns.handle(), told.posting()?)?;
-    log::info!("{} listens on {}", told.name, told.listen);
+    let address = dispatcher.address().map_err(|e| format!("the listener has no address: {e}"))?;
+    log::info!("{} listens on {address}", told.name);
     while !dispatcher.is_done() {
         turns.dispatch(dispatcher.patience(), &mut dispatcher).map_err(|e| format!("the event loop: {e}"))?;
         dispatcher.turn();
--- a/crates/dispatcher/src/program/start.rs
+++ b/crates/dispatcher/src/program/start.rs
@@ -14,7 +14,7 @@
     #[serde(borrow)]
     pub name: Cow<'a, str>,
     #[serde(borrow)]
-    pub listen: Cow<'a, str>,
+    listen: Cow<'a, str>,
     #[serde(borrow)]
     changelog: Cow<'a, str>,
     #[serde(borrow)]
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -82,6 +82,10 @@
         Ok(started)
     }
 
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.desk.listener.address()
+    }
+
     /// How long the loop may sleep.
     pub fn patience(&self) -> Duration {
         self.desk.next_due().saturating_sub(self.desk.clock.now())
--- a/crates/dispatcher/src/transport/listener.rs
+++ b/crates/dispatcher/src/transport/listener.rs
@@ -38,6 +38,11 @@
         Ok(Self { socket })
     }
 
+    /// Where it listens; the port is the system's choice where none was given.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// The next connection that waits, if any.
     pub fn accept(&self) -> io::Result<Option<TcpStream>> {
         loop {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -227,11 +227,9 @@
         let known = json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true,
             "endpoints": hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>()}}]})
         .to_string();
-        // A port that was free a moment ago.
-        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let turns = EventLoop::try_new().unwrap();
         let posting = Posting {
-            listen,
+            listen: ([127, 0, 0, 1], 0).into(),
             changelog: changelog.address,
             known: serde_json::from_str(&known).unwrap(),
             facts: settings.as_object().unwrap(),
@@ -239,6 +237,7 @@
             room,
         };
         let dispatcher = Dispatcher::start(turns.handle(), posting).unwrap();
+        let listen = dispatcher.address().unwrap();
         let (clients, last, deaf, trace) = (Vec::new(), String::new(), false, String::new());
         let mut rig = Self { turns, dispatcher, listen, hosts, changelog, clients, last, deaf, trace };
         rig.client();
