--- a/crates/dispatcher/src/protocol/fastcgi.rs
+++ b/crates/dispatcher/src/protocol/fastcgi.rs
@@ -215,25 +215,21 @@
     Some(())
 }
 
+/// Answers records that belong to no request. Of the values that may be asked for only the one that never changes
+/// is told; names left out are taken as unknown.
 fn management(kind: u8, record: Bytes) -> Result<Option<Message>, Fault> {
+    const MULTIPLEXES: &[u8] = b"FCGI_MPXS_CONNS";
     let mut out = BytesMut::new();
     if kind == GET_VALUES {
-        let mut told = BytesMut::new();
-        pairs(record, |name, _| {
-            let value: &[u8] = match &name[..] {
-                b"FCGI_MAX_CONNS" => b"256",
-                b"FCGI_MAX_REQS" => b"8192",
-                b"FCGI_MPXS_CONNS" => b"1",
-                _ => return,
-            };
-            told.put_u8(name.len() as u8);
-            told.put_u8(value.len() as u8);
-            told.put_slice(&name);
-            told.put_slice(value);
-        })
-        .ok_or(Fault("FastCGI values that can't be read"))?;
-        header(&mut out, GET_VALUES_RESULT, 0, told.len());
-        out.put_slice(&told);
+        let mut asked = false;
+        pairs(record, |name, _| asked |= &name[..] == MULTIPLEXES)
+            .ok_or(Fault("FastCGI values that can't be read"))?;
+        header(&mut out, GET_VALUES_RESULT, 0, if asked { MULTIPLEXES.len() + 3 } else { 0 });
+        if asked {
+            out.put_slice(&[MULTIPLEXES.len() as u8, 1]);
+            out.put_slice(MULTIPLEXES);
+            out.put_u8(b'1');
+        }
     } else {
         header(&mut out, UNKNOWN_TYPE, 0, 8);
         out.put_slice(&[kind, 0, 0, 0, 0, 0, 0, 0]);
