Forwards and GETs in hand keep the module's own types; host marks and times are read in one place

A reading of the whole change. The number of a host for its id and the reading of milliseconds stood in benchlink, in the door and in the clock; they stand in the interface now. An object's id in a purge is read as one in a request is.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,8 +5,8 @@
 mod write;
 
 use myrtlegauge::decide::{Round, Router};
-use myrtlegauge::interface::{Get, ListKind, Outcome, Purged, Values};
-use read::{Envelope, body, duration};
+use myrtlegauge::interface::{Get, ListKind, Outcome, Purged, Values, span};
+use read::{Envelope, body};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -54,7 +54,7 @@
         let envelope = Envelope::read(number, text)?;
         match envelope.name.as_str() {
             "BeginBatch" => {
-                now = Some(duration(body::<read::Begin>(number, "BeginBatch", envelope.body)?.moment_ms))
+                now = Some(span(body::<read::Begin>(number, "BeginBatch", envelope.body)?.moment_ms))
             }
             "Commit" => {
                 let at = now.take().ok_or_else(|| format!("line {number}: Commit without BeginBatch"))?;
@@ -147,7 +147,7 @@
                 part: m.slice,
                 group: m.purge_group,
                 size_kb: m.kbytes,
-                viewer_timeout: duration(m.ttl_ms),
+                viewer_timeout: span(m.ttl_ms),
             });
         }
         "Response" => {
@@ -158,11 +158,11 @@
                 hop: m.hop,
                 end: read::end(m.result)
                     .ok_or_else(|| format!("line {number}: Response: result {}", m.result))?,
-                spent: duration(m.spent_ms),
+                spent: span(m.spent_ms),
                 closed: m.no_more,
                 note: read::note(m.detail)
                     .ok_or_else(|| format!("line {number}: Response: detail {}", m.detail))?,
-                source_wait: duration(m.source_wait_ms),
+                source_wait: span(m.source_wait_ms),
                 load: read::load(&m.gauge),
             };
             round.outcome(place, &outcome);
@@ -196,7 +196,7 @@
         "ExpiredNow" => {
             let m: read::ExpiredNow = body(number, name, text)?;
             let named = m.item.map_or(Purged::Group(m.set_no), Purged::Object);
-            round.purged(named, duration(m.oldness_ms));
+            round.purged(named, span(m.oldness_ms));
         }
         "DeadlineHit" => round.woken(),
         "Opened" | "Peer" | "Sampled" => {}
--- a/crates/benchlink/src/read.rs
+++ b/crates/benchlink/src/read.rs
@@ -1,11 +1,10 @@
 //! Messages of the wire as they are read.
 
-use myrtlegauge::interface::{End, Entry, Load, Note, Standing, Values};
+use myrtlegauge::interface::{End, Entry, Load, Note, Standing, Values, mark, span};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 pub struct Envelope<'a> {
     pub name: String,
@@ -29,10 +28,6 @@
     serde_json::from_str(text).map_err(|e| format!("line {number}: {name}: {e}"))
 }
 
-pub fn duration(ms: f64) -> Duration {
-    Duration::try_from_secs_f64((ms / 1e3).max(0.0)).unwrap_or(Duration::ZERO)
-}
-
 pub fn ticket(number: usize, name: &str, text: &str) -> Result<u64, String> {
     let read = u64::from_str_radix(text, 16).ok().filter(|_| text.len() == 16);
     read.ok_or_else(|| format!("line {number}: {name}: ticket {text:?} is not 16 hex digits"))
@@ -136,7 +131,7 @@
             host,
             mark: mark(&self.host),
             standing,
-            started: duration(self.since_ms),
+            started: span(self.since_ms),
             zone: self.failure_domain,
             cell: self.stripe,
             kind: self.generation_hw,
@@ -145,11 +140,6 @@
     }
 }
 
-/// FNV-1a of the host's id: the same number at every router.
-fn mark(host: &str) -> u64 {
-    host.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 #[derive(Deserialize)]
 pub struct ExpiredNow {
     #[serde(default)]
--- a/crates/dispatcher/src/protocol/fastcgi.rs
+++ b/crates/dispatcher/src/protocol/fastcgi.rs
@@ -23,7 +23,7 @@
 const UNKNOWN_ROLE: u8 = 3;
 
 /// Requests open on one connection, by the protocol page.
-pub const MOST_OPEN: usize = 32;
+const MOST_OPEN: usize = 32;
 /// Bytes of one request's parameters; what clients send takes a few hundred.
 const PARAMS_MOST: usize = 16 * 1024;
 /// Bytes of one request's body; the protocol page allows 48,000.
@@ -246,7 +246,7 @@
 }
 
 /// Ends a request without an answer.
-pub fn end(number: u16, status: u8) -> Bytes {
+fn end(number: u16, status: u8) -> Bytes {
     let mut out = BytesMut::with_capacity(16);
     put_end(&mut out, number, status);
     out.freeze()
--- a/crates/dispatcher/src/protocol/resp.rs
+++ b/crates/dispatcher/src/protocol/resp.rs
@@ -3,7 +3,7 @@
 
 use super::Fault;
 use bytes::{BufMut, Bytes, BytesMut};
-use std::fmt::{Arguments, Write};
+use std::fmt::Write;
 
 /// Bytes of one element; the protocol page allows objects of 240,000.
 const ELEMENT_MOST: usize = 256 * 1024;
@@ -73,15 +73,11 @@
 }
 
 fn element(out: &mut BytesMut, bytes: &[u8]) {
-    put(out, format_args!("${}\r\n", bytes.len()));
+    write!(out, "${}\r\n", bytes.len()).expect("a buffer takes all that is written");
     out.put_slice(bytes);
     out.put_slice(b"\r\n");
 }
 
-fn put(out: &mut BytesMut, text: Arguments<'_>) {
-    out.write_fmt(text).expect("a buffer takes all that is written");
-}
-
 pub fn serve(out: &mut BytesMut, id: &[u8], fields: &[u8], body: &[u8]) {
     out.put_slice(b"*4\r\n$5\r\nserve\r\n");
     element(out, id);
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -71,26 +71,17 @@
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
         self.accounts.requests().add(request.long);
-        self.hands.open(
-            place,
-            Hand {
-                owed,
-                request,
-                ds: get.ds,
-                object: get.object,
-                group: get.group,
-                until,
-                ..Hand::default()
-            },
-        );
+        self.hands.open(place, Hand { owed, request, get, until, ..Hand::default() });
         Some(get)
     }
 
     fn write_answer(&mut self, key: Key, number: u16, answer: &Answer) {
-        let pen = &mut self.pen;
-        let client = self.clients.get_mut(key.at as usize).filter(|c| c.serial == key.serial);
+        let Self { clients, pen, text, .. } = self;
+        let client = clients.get_mut(key.at as usize).filter(|c| c.serial == key.serial);
         if let Some(client) = client {
-            client.answer(pen, number, answer);
+            answer.head(text);
+            let body = if let Answer::Returned(body) = answer { body.clone() } else { Bytes::new() };
+            fastcgi::answer(pen, number, text, body, |bytes| client.connection.push(bytes));
             self.dirty.push(Who::Client(key));
             if client.last {
                 self.heard_clients.push_back(key);
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -2,11 +2,11 @@
 
 use super::{Dispatcher, Key};
 use crate::protocol::Fault;
-use crate::protocol::fastcgi::{self, Message, Reader};
+use crate::protocol::fastcgi::{Message, Reader};
 use crate::transport::{Connection, Gauge};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use myrtlegauge::interface::Place;
-use std::fmt::Write;
+use std::io::Write;
 use std::time::Duration;
 
 pub struct Client {
@@ -68,13 +68,6 @@
         let at = self.open.iter().position(|&(open, _)| open == number)?;
         Some(self.open.swap_remove(at).1)
     }
-
-    pub fn answer(&mut self, pen: &mut BytesMut, number: u16, answer: &Answer) {
-        let mut head = Head::default();
-        answer.head(&mut head);
-        let body = if let Answer::Returned(body) = answer { body.clone() } else { Bytes::new() };
-        fastcgi::answer(pen, number, head.text(), body, |bytes| self.connection.push(bytes));
-    }
 }
 
 /// The answers that there are.
@@ -89,23 +82,10 @@
     Healthy(bool),
 }
 
-/// Room for the longest head.
-#[derive(Default)]
-struct Head {
-    bytes: arrayvec::ArrayString<HEAD_MOST>,
-}
-
-const HEAD_MOST: usize = 160;
-
-impl Head {
-    fn text(&self) -> &[u8] {
-        self.bytes.as_bytes()
-    }
-}
-
 impl Answer {
-    fn head(&self, head: &mut Head) {
-        let out = &mut head.bytes;
+    /// Writes its head.
+    pub fn head(&self, out: &mut Vec<u8>) {
+        out.clear();
         let written = match self {
             Answer::Returned(body) => {
                 let long = body.len();
@@ -124,6 +104,6 @@
             Answer::Healthy(true) => write!(out, "Status: 200 OK\r\nContent-Length: 0\r\n"),
             Answer::Healthy(false) => write!(out, "Status: 503 Service Unavailable\r\n"),
         };
-        written.and_then(|()| out.write_str("\r\n")).expect("the longest head fits");
+        written.and_then(|()| out.write_all(b"\r\n")).expect("a vector takes all that is written");
     }
 }
--- a/crates/dispatcher/src/routing/clock.rs
+++ b/crates/dispatcher/src/routing/clock.rs
@@ -1,6 +1,7 @@
 //! Time as spans since an epoch that lies an hour before the program's start, so that a host's start or a purge
 //! of some time ago is a span too.
 
+use myrtlegauge::interface::span;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const BEFORE: Duration = Duration::from_secs(3600);
@@ -23,7 +24,6 @@
 
     /// Zero for what lies before the epoch.
     pub fn span(&self, unix_ms: f64) -> Duration {
-        let unix = Duration::try_from_secs_f64((unix_ms / 1e3).max(0.0)).unwrap_or_default();
-        unix.saturating_sub(self.epoch)
+        span(unix_ms).saturating_sub(self.epoch)
     }
 }
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -10,7 +10,7 @@
 use super::{Dispatcher, Key, Who};
 use crate::transport::{Accounts, Hub, Listener};
 use bytes::BytesMut;
-use myrtlegauge::interface::{End, Get, Place, Values};
+use myrtlegauge::interface::{End, Get, Place, Values, span};
 use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -86,9 +86,9 @@
     pub ended: VecDeque<(Place, u64, End)>,
     pub abandoned: VecDeque<Place>,
     pub dues: BinaryHeap<Reverse<(Duration, Due)>>,
-    /// Where messages are written before they go out, and the fields of one.
+    /// Where messages are written before they go out, and the fields or the head of one.
     pub pen: BytesMut,
-    pub fields: Vec<u8>,
+    pub text: Vec<u8>,
     pub feed: Feed,
     pub feed_heard: bool,
     pub listed: bool,
@@ -110,16 +110,16 @@
     pub fn read(told: &Values) -> Self {
         let limits = told.get("limits");
         let number = |name: &str| limits.and_then(|l| l.get(name)).and_then(|v| v.as_f64());
-        let span = |name: &str| super::door::span(number(name).unwrap_or(0.0));
+        let time = |name: &str| span(number(name).unwrap_or(0.0));
         let services = told.get("classes").and_then(|v| v.as_array()).into_iter().flatten();
         let longest = services.filter_map(|ds| ds.get("deadline_ms")?.as_f64()).fold(0.0, f64::max);
         Self {
             streams: number("streams_per_conn").map_or(1, |n| n as usize).max(1),
-            idle: span("conn_idle_ms").mul_f64(IDLE_PART),
-            connect: span("connect_timeout_ms"),
+            idle: time("conn_idle_ms").mul_f64(IDLE_PART),
+            connect: time("connect_timeout_ms"),
             cancel: limits.and_then(|l| l.get("cancel")).and_then(|v| v.as_bool()).unwrap_or(false),
             forwards: number("max_attempts").map_or(u32::MAX, |n| n as u32),
-            longest: super::door::span(longest),
+            longest: span(longest),
         }
     }
 }
@@ -157,7 +157,7 @@
             abandoned: VecDeque::new(),
             dues: BinaryHeap::new(),
             pen: BytesMut::new(),
-            fields: Vec::new(),
+            text: Vec::new(),
             feed,
             feed_heard: false,
             listed: false,
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -5,9 +5,8 @@
 use crate::protocol::fastcgi::Request;
 use crate::protocol::resp::Answer;
 use bytes::Bytes;
-use myrtlegauge::interface::{End, Entry, Get, HostIndex, Load, Note, Standing, Values};
+use myrtlegauge::interface::{End, Entry, Get, HostIndex, Load, Note, Standing, Values, mark, span};
 use std::collections::HashMap;
-use std::time::Duration;
 
 pub struct Door {
     pub services: Vec<Bytes>,
@@ -107,7 +106,7 @@
 /// ms; no client waits longer than an hour.
 const BUDGET_MOST: f64 = 3.6e6;
 
-fn hex(bytes: &[u8]) -> Option<u64> {
+pub fn hex(bytes: &[u8]) -> Option<u64> {
     let fits = (1..=KEY_LONG).contains(&bytes.len()) && bytes.iter().all(u8::is_ascii_hexdigit);
     u64::from_str_radix(std::str::from_utf8(bytes).ok().filter(|_| fits)?, 16).ok()
 }
@@ -129,19 +128,10 @@
     inner.map_or(tag.clone(), |inner| tag.slice_ref(inner))
 }
 
-/// FNV-1a of the host's name: the same number at every router.
-fn mark(host: &str) -> u64 {
-    host.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 pub fn number(bytes: &[u8]) -> Option<f64> {
     std::str::from_utf8(bytes).ok()?.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-pub fn span(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
-}
-
 /// How an answer ends a forward; none for a word that is not known.
 pub fn end(word: &[u8]) -> Option<End> {
     Some(match word {
--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -29,9 +29,9 @@
 }
 
 impl Feed {
-    pub fn new(address: SocketAddr, last: u64) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         let (asked_at, due) = (Duration::ZERO, Duration::ZERO);
-        Self { address, host: address.to_string(), connection: None, asked: false, asked_at, due, last }
+        Self { address, host: address.to_string(), connection: None, asked: false, asked_at, due, last: 0 }
     }
 
     /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -3,15 +3,15 @@
 use super::clients::Answer;
 use super::desk::{Desk, Due};
 use super::door;
-use super::hands::{Out, Wanted};
+use super::hands::Out;
 use super::hosts::Link;
 use super::{Key, Who};
 use crate::protocol::{Fault, resp};
 use crate::transport::Connection;
-use myrtlegauge::interface::{Dispatch, End, Forward, HostIndex, Load, Note, Outcome, Place};
+use myrtlegauge::interface::{Dispatch, End, Forward, HostIndex, Load, Note, Outcome, Place, span};
 use std::cmp::Reverse;
-use std::fmt::{Arguments, Write};
-use std::io::{self, ErrorKind};
+use std::fmt::Arguments;
+use std::io::{self, ErrorKind, Write};
 use std::time::Duration;
 
 impl Dispatch for Desk {
@@ -25,20 +25,10 @@
         self.counters.must(fit, "one forward out at a time, and only for a GET in hand");
         self.forwards += 1;
         let serial = self.forwards;
-        let wanted = Wanted {
-            host: f.host,
-            source: Some(f.source).filter(|&source| source != f.host),
-            keep: f.keep,
-            // Zero would mean the fresh time, so that a limit is never rounded to it.
-            cap_ms: if f.accepted_age.is_zero() { 0 } else { f.accepted_age.as_millis().max(1) },
-            join: f.join,
-            held_only: f.held_only,
-            renew: f.renew,
-        };
         let allowed = hop < most;
         let link = if allowed { self.link_to(f.host) } else { Err(End::NeverSent) };
         self.hands.at(place).out =
-            Some(Out { hop, serial, at: now, until, link: link.ok(), ends_at: None, wanted });
+            Some(Out { hop, serial, at: now, until, link: link.ok(), ends_at: None, to: *f });
         self.counters.forwards += 1;
         self.dues.push(Reverse((until, Due::Forward(place, serial))));
         match link {
@@ -132,46 +122,38 @@
 
     /// Writes a forward as its host reads it; what the client sent goes on as it came.
     fn write_forward(&mut self, key: Key, place: Place) {
-        let Self { hands, hosts, links, door, pen, fields, now, .. } = self;
+        let Self { hands, hosts, links, door, pen, text, now, .. } = self;
         let hand = hands.at(place);
         let Some(out) = &mut hand.out else { return };
-        let (request, wanted, ttl) = (&hand.request, &out.wanted, out.until.saturating_sub(*now));
-        fields.clear();
-        let mut put = |name: &str, value: &[u8]| {
-            let comma: &[u8] = if fields.is_empty() { b"" } else { b"," };
-            for part in [comma, name.as_bytes(), b"=", value] {
-                fields.extend_from_slice(part);
-            }
-        };
-        put("lane", &door.services[hand.ds]);
-        for (name, value) in [("name", &request.key), ("piece", &request.part)] {
+        let (request, to) = (&hand.request, &out.to);
+        text.clear();
+        put(text, "lane=", &door.services[hand.get.ds]);
+        for (name, value) in [(",name=", &request.key), (",piece=", &request.part)] {
             if !value.is_empty() {
-                put(name, value);
+                put(text, name, value);
             }
         }
-        put("ttl", Digits::of(ttl.as_millis().max(1)).text());
-        if let Some(source) = wanted.source {
-            put("up", &hosts[source].name);
+        put_number(text, ",ttl=", out.until.saturating_sub(*now).as_millis().max(1));
+        if to.source != to.host {
+            put(text, ",up=", &hosts[to.source].name);
         }
-        if wanted.keep > 0 {
-            put("store", Digits::of(u128::from(wanted.keep)).text());
+        if to.keep > 0 {
+            put_number(text, ",store=", u128::from(to.keep));
         }
-        if wanted.cap_ms > 0 {
-            put("cap", Digits::of(wanted.cap_ms).text());
+        if !to.accepted_age.is_zero() {
+            // Zero would mean the fresh time, so that a limit is never rounded to it.
+            put_number(text, ",cap=", to.accepted_age.as_millis().max(1));
         }
-        let words = [(wanted.join, "join"), (wanted.held_only, "held"), (wanted.renew, "renew")];
-        let mut list = arrayvec::ArrayString::<16>::new();
+        let words = [(to.join, "join"), (to.held_only, "held"), (to.renew, "renew")];
+        let mut before = ",do=";
         for (_, word) in words.iter().filter(|(said, _)| *said) {
-            list.push_str(if list.is_empty() { "" } else { "+" });
-            list.push_str(word);
-        }
-        if !list.is_empty() {
-            put("do", list.as_bytes());
+            put(text, before, word.as_bytes());
+            before = "+";
         }
         if !request.held.is_empty() {
-            put("inm", &request.held);
+            put(text, ",inm=", &request.held);
         }
-        resp::serve(pen, &request.id, fields, &request.body);
+        resp::serve(pen, &request.id, text, &request.body);
         let link = &mut links[key.at as usize];
         link.connection.push(pen.split().freeze());
         out.ends_at = Some(link.connection.pushed());
@@ -214,8 +196,8 @@
 
     /// A forward's time is up.
     pub fn overdue(&mut self, place: Place, serial: u64) {
-        let out = self.hands.get(place).and_then(|hand| hand.out).filter(|out| out.serial == serial);
-        let Some(out) = out.filter(|out| out.link.is_some()) else { return };
+        let out = self.hands.at(place).out.filter(|out| out.serial == serial && out.link.is_some());
+        let Some(out) = out else { return };
         self.give_up(place, &out);
         let end = if out.ends_at.is_some() { End::TimedOut } else { End::NeverSent };
         self.ended.push_back((place, serial, end));
@@ -301,7 +283,7 @@
         self.counters.must(out.is_some(), "an answer is matched to a forward that is out");
         let told = Told {
             note: door::note(&answer),
-            source_wait: answer.field("fill").and_then(door::number).map_or(Duration::ZERO, door::span),
+            source_wait: answer.field("fill").and_then(door::number).map_or(Duration::ZERO, span),
             load: door::load(&answer),
         };
         if end == End::Returned && self.hands.at(place).owed.is_some() {
@@ -316,7 +298,7 @@
     /// The next forward that ended here.
     pub fn next_ended(&mut self) -> Option<(Place, Outcome)> {
         while let Some((place, serial, end)) = self.ended.pop_front() {
-            let out = self.hands.get(place).and_then(|hand| hand.out.take_if(|out| out.serial == serial));
+            let out = self.hands.at(place).out.take_if(|out| out.serial == serial);
             if let Some(out) = out {
                 return Some((place, self.outcome(place, &out, end, Told::default())));
             }
@@ -345,17 +327,11 @@
     }
 }
 
-/// A number as text, without an allocation.
-struct Digits(arrayvec::ArrayString<40>);
-
-impl Digits {
-    fn of(n: u128) -> Self {
-        let mut text = arrayvec::ArrayString::new();
-        write!(text, "{n}").expect("40 digits hold any number");
-        Self(text)
-    }
+fn put(text: &mut Vec<u8>, name: &str, value: &[u8]) {
+    text.extend_from_slice(name.as_bytes());
+    text.extend_from_slice(value);
+}
 
-    fn text(&self) -> &[u8] {
-        self.0.as_bytes()
-    }
+fn put_number(text: &mut Vec<u8>, name: &str, value: u128) {
+    write!(text, "{name}{value}").expect("a vector takes all that is written");
 }
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -2,7 +2,7 @@
 
 use super::Key;
 use crate::protocol::fastcgi::Request;
-use myrtlegauge::interface::{HostIndex, Place};
+use myrtlegauge::interface::{Forward, Get, Place};
 use std::time::Duration;
 
 #[derive(Default)]
@@ -11,9 +11,7 @@
     pub owed: Option<(Key, u16)>,
     /// As it came; what goes on unchanged is taken from here.
     pub request: Request,
-    pub ds: usize,
-    pub object: u64,
-    pub group: u64,
+    pub get: Get,
     pub until: Duration,
     pub hops: u32,
     pub out: Option<Out>,
@@ -30,19 +28,7 @@
     pub link: Option<Key>,
     /// Where its last byte stands in the connection's stream; none while it waits for one to come up.
     pub ends_at: Option<u64>,
-    pub wanted: Wanted,
-}
-
-/// What a forward asks for, in numbers.
-#[derive(Clone, Copy)]
-pub struct Wanted {
-    pub host: HostIndex,
-    pub source: Option<HostIndex>,
-    pub keep: u8,
-    pub cap_ms: u128,
-    pub join: bool,
-    pub held_only: bool,
-    pub renew: bool,
+    pub to: Forward,
 }
 
 #[derive(Default)]
@@ -64,13 +50,9 @@
         &mut self.places[place]
     }
 
-    pub fn get(&mut self, place: Place) -> Option<&mut Hand> {
-        self.places.get_mut(place)
-    }
-
     /// Takes away what is owed, so that it can be paid once only.
     pub fn settle(&mut self, place: Place) -> Option<(Key, u16)> {
-        let owed = self.places.get_mut(place)?.owed.take()?;
+        let owed = self.places[place].owed.take()?;
         self.owed -= 1;
         Some(owed)
     }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -71,7 +71,7 @@
         let accounts = Rc::new(Accounts::default());
         let listener = Listener::open(&hub, posting.listen, Who::Listener, &accounts)
             .map_err(|e| format!("can't listen on {}: {e}", posting.listen))?;
-        let feed = Feed::new(posting.changelog, 0);
+        let feed = Feed::new(posting.changelog);
         let names = (Door::new(posting.facts)?, desk::Manners::read(posting.facts));
         let desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
         let mut started = Self { router, desk };
@@ -175,7 +175,7 @@
             round.listed(if fleet.snapshot { whole } else { ListKind::Changes }, &entries);
         }
         if let Some(purge) = &change.invalidate {
-            let object = purge.object.as_deref().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+            let object = purge.object.as_deref().and_then(|id| door::hex(id.as_bytes()));
             let named = object.map(Purged::Object).or(purge.bucket.map(Purged::Group));
             if let Some((named, age)) = round.desk().purged(named, purge.unix_ms) {
                 round.purged(named, age);
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -11,8 +11,10 @@
 
 impl Desk {
     pub fn next_changes(&mut self) -> Option<Bytes> {
-        let next = if std::mem::take(&mut self.feed_heard) { self.feed.next(self.now) } else { return None };
-        match next {
+        if !std::mem::take(&mut self.feed_heard) {
+            return None;
+        }
+        match self.feed.next(self.now) {
             Ok(body) => {
                 self.feed_heard = body.is_some();
                 body
@@ -61,8 +63,8 @@
         self.counters.purges += 1;
         let named = named?;
         self.decide_anew(|hand, _| match named {
-            Purged::Object(object) => hand.object == object,
-            Purged::Group(group) => hand.group == group,
+            Purged::Object(object) => hand.get.object == object,
+            Purged::Group(group) => hand.get.group == group,
         });
         Some((named, self.now.saturating_sub(self.clock.span(unix_ms))))
     }
@@ -90,7 +92,7 @@
             self.hosts[index].entry = entry;
             self.new_life(index, address);
             if entry.standing != Standing::On {
-                self.decide_anew(|_, out| out.wanted.host == index || out.wanted.source == Some(index));
+                self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
             }
             entries.push(entry);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,6 +95,16 @@
     pub units: f64,
 }
 
+/// The number of a host for its id, the same at every router: FNV-1a.
+pub fn mark(id: &str) -> u64 {
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// Milliseconds as they are told; none, or no time at all, is zero.
+pub fn span(ms: f64) -> Duration {
+    Duration::try_from_secs_f64((ms / 1e3).max(0.0)).unwrap_or_default()
+}
+
 /// What a purge names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Purged {
