Connections are looked up by key in one place; one way into the loop, one kind of count

Listener and connection put themselves into the loop by the same function. The search for an idle client ran at every accept and now runs only over the bound; idle connections are found in one pass.

--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -15,8 +15,8 @@
     pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
         loop {
             let Self { clients, accounts, .. } = self;
-            let client = clients.get_mut(key.at as usize).filter(|client| client.serial == key.serial)?;
-            match client.next(accounts.requests()) {
+            let client = clients.get_mut(key)?;
+            match client.next(&accounts.requests) {
                 Ok(Some(Message::Request(request))) => {
                     if let Some(get) = self.asked(key, place, request) {
                         return Some(get);
@@ -54,7 +54,7 @@
         let get = self.door.get(&request);
         let ready = self.is_ready();
         let health = get.is_none() && &request.path[..] == b"/health";
-        self.client(key)?.last |= !keep_conn;
+        self.clients.get_mut(key)?.last |= !keep_conn;
         let Some(get) = get else {
             let answer = if health { Answer::Healthy(ready) } else { Answer::Unusable };
             self.counters.health += u64::from(health);
@@ -67,18 +67,17 @@
             return None;
         };
         self.counters.taken += 1;
-        self.client(key)?.open.push((number, place));
+        self.clients.get_mut(key)?.open.push((number, place));
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
-        self.accounts.requests().add(request.long);
+        self.accounts.requests.add(request.long);
         self.hands.open(place, Hand { owed, request, get, until, ..Hand::default() });
         Some(get)
     }
 
     fn write_answer(&mut self, key: Key, number: u16, answer: &Answer) {
         let Self { clients, pen, text, .. } = self;
-        let client = clients.get_mut(key.at as usize).filter(|c| c.serial == key.serial);
-        if let Some(client) = client {
+        if let Some(client) = clients.get_mut(key) {
             answer.head(text);
             let body = if let Answer::Returned(body) = answer { body.clone() } else { Bytes::new() };
             fastcgi::answer(pen, number, text, body, |bytes| client.connection.push(bytes));
@@ -92,7 +91,7 @@
     /// Pays what is owed for a GET; false if it was answered or abandoned before.
     pub fn pay(&mut self, place: Place, answer: &Answer) -> bool {
         let Some((key, number)) = self.hands.settle(place) else { return false };
-        if let Some(client) = self.client(key) {
+        if let Some(client) = self.clients.get_mut(key) {
             client.close(number);
         }
         match answer {
@@ -117,8 +116,8 @@
 
     /// A client that is gone waits for nothing.
     fn drop_client(&mut self, key: Key) {
-        let client = self.clients.remove(key.at as usize);
-        self.accounts.requests().take(client.reader.long());
+        let client = self.clients.remove(key);
+        self.accounts.requests.take(client.reader.long());
         for &(_, place) in &client.open {
             self.abandon(place);
         }
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -1,6 +1,6 @@
 //! Connections of clients, and the answers that go out on them.
 
-use super::{Dispatcher, Key};
+use super::Dispatcher;
 use crate::protocol::Fault;
 use crate::protocol::fastcgi::{Message, Reader};
 use crate::transport::{Connection, Gauge};
@@ -12,7 +12,6 @@
 pub struct Client {
     pub connection: Connection<Dispatcher>,
     pub reader: Reader,
-    pub serial: u32,
     /// Requests that are owed an answer: their numbers, and the GETs they are.
     pub open: Vec<(u16, Place)>,
     /// To be closed once nothing is open and all is written.
@@ -26,11 +25,10 @@
 }
 
 impl Client {
-    pub fn new(connection: Connection<Dispatcher>, serial: u32, now: Duration) -> Self {
+    pub fn new(connection: Connection<Dispatcher>, now: Duration) -> Self {
         Self {
             connection,
             reader: Reader::default(),
-            serial,
             open: Vec::new(),
             last: false,
             ended: false,
@@ -40,10 +38,6 @@
         }
     }
 
-    pub fn key(&self, at: usize) -> Key {
-        Key { at: at as u32, serial: self.serial }
-    }
-
     pub fn quiet(&self) -> bool {
         self.open.is_empty() && self.connection.waiting() == 0
     }
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -7,11 +7,11 @@
 use super::feed::Feed;
 use super::hands::Hands;
 use super::hosts::{Host, Link};
+use super::keyed::Keyed;
 use super::{Dispatcher, Key, Who};
 use crate::transport::{Accounts, Hub, Listener};
 use bytes::BytesMut;
 use myrtlegauge::interface::{End, Get, Place, Values, span};
-use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fmt::Arguments;
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     Forward(Place, u64),
-    Connect(u32, u32),
+    Connect(Key),
 }
 
 pub struct Desk {
@@ -71,9 +71,8 @@
     pub manners: Manners,
     pub hands: Hands,
     pub hosts: Vec<Host>,
-    pub links: Slab<Link>,
-    pub clients: Slab<Client>,
-    pub serial: u32,
+    pub links: Keyed<Link>,
+    pub clients: Keyed<Client>,
     pub forwards: u64,
     /// What the loop said, and what waits because buffers are full.
     pub stirred: Vec<Who>,
@@ -144,9 +143,8 @@
             manners,
             hands: Hands::default(),
             hosts: Vec::new(),
-            links: Slab::new(),
-            clients: Slab::new(),
-            serial: 0,
+            links: Keyed::new(),
+            clients: Keyed::new(),
             forwards: 0,
             stirred: Vec::new(),
             stirring: Vec::new(),
@@ -175,27 +173,13 @@
         }
     }
 
-    pub fn next_serial(&mut self) -> u32 {
-        self.serial = self.serial.wrapping_add(1);
-        self.serial
-    }
-
-    pub fn client(&mut self, key: Key) -> Option<&mut Client> {
-        self.clients.get_mut(key.at as usize).filter(|client| client.serial == key.serial)
-    }
-
-    pub fn link(&mut self, key: Key) -> Option<&mut Link> {
-        self.links.get_mut(key.at as usize).filter(|link| link.serial == key.serial)
-    }
-
     pub fn fall_due(&mut self) {
         while let Some(&Reverse((_, due))) = self.dues.peek().filter(|Reverse((at, _))| *at <= self.now) {
             self.dues.pop();
             match due {
                 Due::Forward(place, serial) => self.overdue(place, serial),
-                Due::Connect(at, serial) => {
-                    let key = Key { at, serial };
-                    if self.link(key).is_some_and(|link| !link.up) {
+                Due::Connect(key) => {
+                    if self.links.get_mut(key).is_some_and(|link| !link.up) {
                         self.link_failed(key);
                     }
                 }
@@ -205,12 +189,12 @@
 
     /// No room for more answers until some have gone out.
     pub fn is_full(&self) -> bool {
-        self.accounts.buffered().level() > self.most_buffered
+        self.accounts.buffered.level() > self.most_buffered
     }
 
     /// No room for more requests either.
     pub fn is_full_of_requests(&self) -> bool {
-        self.accounts.buffered().level() + self.accounts.requests().level() > self.most_buffered
+        self.accounts.buffered.level() + self.accounts.requests.level() > self.most_buffered
     }
 
     /// Counts what could not be read or used, and tells of it now and then.
@@ -285,11 +269,11 @@
             self.hands.owed,
             self.clients.len(),
             self.links.len(),
-            accounts.descriptors().peak(),
-            accounts.buffered().peak(),
-            accounts.requests().peak(),
-            accounts.bytes_in.get(),
-            accounts.bytes_out.get()
+            accounts.descriptors.peak(),
+            accounts.buffered.peak(),
+            accounts.requests.peak(),
+            accounts.bytes_in.level(),
+            accounts.bytes_out.level()
         );
     }
 
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -33,7 +33,7 @@
         self.dues.push(Reverse((until, Due::Forward(place, serial))));
         match link {
             Ok(key) => {
-                let link = &mut self.links[key.at as usize];
+                let link = &mut self.links[key];
                 link.out.push(place);
                 link.used_at = now;
                 if link.up {
@@ -65,7 +65,7 @@
         let hand = self.hands.at(place);
         let clear = hand.owed.is_none() && hand.out.is_none();
         self.counters.must(clear, "a GET that is over has no forward out and its answer");
-        self.accounts.requests().take(self.hands.at(place).request.long);
+        self.accounts.requests.take(self.hands.at(place).request.long);
         self.hands.clear(place);
     }
 
@@ -85,15 +85,14 @@
     /// new one.
     fn link_to(&mut self, host: HostIndex) -> Result<Key, End> {
         let (links, streams) = (&self.links, self.manners.streams);
-        let open = self.hosts[host].links.iter().copied().filter(|&at| links[at].takes(streams));
-        if let Some(at) = open.min_by_key(|&at| (!links[at].up, links[at].out.len())) {
-            return Ok(links[at].key(at));
+        let open = self.hosts[host].links.iter().copied().filter(|&key| links[key].takes(streams));
+        if let Some(key) = open.min_by_key(|&key| (!links[key].up, links[key].out.len())) {
+            return Ok(key);
         }
         if !self.has_room_for_link() {
             return Err(End::NeverSent);
         }
-        let (serial, at) = (self.next_serial(), self.links.vacant_key());
-        let key = Key { at: at as u32, serial };
+        let key = self.links.next_key();
         let address = self.hosts[host].address.ok_or(End::NoConnection)?;
         let opening = Connection::opening(&self.hub, address, Who::Link(key), &self.accounts);
         // What is amiss on this side is not held against the host.
@@ -102,9 +101,8 @@
         let connection = opening.map_err(|e| if here(e) { End::NeverSent } else { End::NoConnection })?;
         self.counters.links += 1;
         let now = self.now;
-        self.links.insert(Link {
+        let link = Link {
             connection,
-            serial,
             host,
             up: false,
             since: now,
@@ -114,9 +112,10 @@
             heard_at: now,
             part_since: None,
             used_at: now,
-        });
-        self.hosts[host].links.push(at);
-        self.dues.push(Reverse((now + self.manners.connect, Due::Connect(key.at, serial))));
+        };
+        self.links.insert(key, link);
+        self.hosts[host].links.push(key);
+        self.dues.push(Reverse((now + self.manners.connect, Due::Connect(key))));
         Ok(key)
     }
 
@@ -154,7 +153,7 @@
             put(text, ",inm=", &request.held);
         }
         resp::serve(pen, &request.id, text, &request.body);
-        let link = &mut links[key.at as usize];
+        let link = &mut links[key];
         link.connection.push(pen.split().freeze());
         out.ends_at = Some(link.connection.pushed());
         self.dirty.push(Who::Link(key));
@@ -162,10 +161,10 @@
 
     pub fn link_up(&mut self, key: Key) {
         let now = self.now;
-        let Some(link) = self.link(key) else { return };
+        let Some(link) = self.links.get_mut(key) else { return };
         (link.up, link.since, link.heard_at) = (true, now, now);
         for i in 0..link.out.len() {
-            let place = self.links[key.at as usize].out[i];
+            let place = self.links[key].out[i];
             self.write_forward(key, place);
         }
     }
@@ -173,25 +172,25 @@
     /// A connection that did not come up: nothing that waited for it ever ran.
     pub fn link_failed(&mut self, key: Key) {
         self.counters.links_failed += 1;
-        self.end_link(key.at as usize, End::NoConnection);
+        self.end_link(key, End::NoConnection);
     }
 
     /// Ends a connection and what is out on it. A forward whose last byte never left is proven not run.
-    pub fn end_link(&mut self, at: usize, end: End) {
-        let flushed = self.links[at].connection.flushed();
-        for place in std::mem::take(&mut self.links[at].out) {
+    pub fn end_link(&mut self, key: Key, end: End) {
+        let flushed = self.links[key].connection.flushed();
+        for place in std::mem::take(&mut self.links[key].out) {
             let Some(out) = self.hands.at(place).out.as_mut() else { continue };
             out.link = None;
             let left = out.ends_at.is_some_and(|ends| ends <= flushed);
             self.ended.push_back((place, out.serial, if left { end } else { End::NoConnection }));
         }
-        self.drop_link(at);
+        self.drop_link(key);
     }
 
-    pub fn drop_link(&mut self, at: usize) {
-        let link = self.links.remove(at);
+    pub fn drop_link(&mut self, key: Key) {
+        let link = self.links.remove(key);
         debug_assert!(link.out.is_empty(), "a connection is dropped with a forward out");
-        self.hosts[link.host].links.retain(|&other| other != at);
+        self.hosts[link.host].links.retain(|&other| other != key);
     }
 
     /// A forward's time is up.
@@ -211,7 +210,7 @@
         }
         let (now, connect, cancel) = (self.now, self.manners.connect, self.manners.cancel);
         let Self { links, hands, pen, .. } = self;
-        let link = &mut links[key.at as usize];
+        let link = &mut links[key];
         link.out.retain(|&other| other != place);
         link.used_at = now;
         // Not a byte since it was sent, for longer than a connection may take: the other end may be gone without
@@ -238,7 +237,7 @@
     fn read_link(&mut self, key: Key) -> Option<(Place, Outcome)> {
         loop {
             let Self { links, hands, .. } = self;
-            let link = links.get_mut(key.at as usize).filter(|link| link.serial == key.serial)?;
+            let link = links.get_mut(key)?;
             let answer = match link.connection.parse(resp::next) {
                 Ok(Some(answer)) => answer,
                 Ok(None) => {
@@ -247,13 +246,13 @@
                     }
                     if link.ended {
                         self.counters.links_broken += 1;
-                        self.end_link(key.at as usize, End::Reset);
+                        self.end_link(key, End::Reset);
                     }
                     return None;
                 }
                 Err(Fault(what)) => {
                     self.fault(format_args!("a host's connection is closed: {what}"));
-                    self.end_link(key.at as usize, End::Reset);
+                    self.end_link(key, End::Reset);
                     return None;
                 }
             };
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -12,13 +12,11 @@
     /// As the list told it last.
     pub entry: Entry,
     pub address: Option<SocketAddr>,
-    /// Its connections, by place among all.
-    pub links: Vec<usize>,
+    pub links: Vec<Key>,
 }
 
 pub struct Link {
     pub connection: Connection<Dispatcher>,
-    pub serial: u32,
     pub host: HostIndex,
     pub up: bool,
     /// When it came up, or, before that, when it was asked for.
@@ -35,10 +33,6 @@
 }
 
 impl Link {
-    pub fn key(&self, at: usize) -> Key {
-        Key { at: at as u32, serial: self.serial }
-    }
-
     pub fn takes(&self, streams: usize) -> bool {
         !self.retired && !self.ended && self.out.len() < streams
     }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod forwards;
 mod hands;
 mod hosts;
+mod keyed;
 mod news;
 mod sockets;
 
@@ -20,19 +21,13 @@
 pub use desk::{Desk, Room};
 use door::Door;
 use feed::Feed;
+pub use keyed::Key;
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListKind, Purged, Values};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Names a connection; the serial tells it from an earlier one at the same place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Key {
-    at: u32,
-    serial: u32,
-}
-
 /// What can stir in the loop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
@@ -147,7 +142,7 @@
 
     /// Bytes in all buffers.
     pub fn buffered(&self) -> usize {
-        self.desk.accounts.buffered().level()
+        self.desk.accounts.buffered.level()
     }
 
     pub fn report(&self) {
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -109,10 +109,10 @@
             if !own && (self.hosts[host].address != address || entry.standing != Standing::On) {
                 continue;
             }
-            for at in self.hosts[host].links.clone() {
-                let link = &mut self.links[at];
+            for key in self.hosts[host].links.clone() {
+                let link = &mut self.links[key];
                 if !own || moved || link.up && link.since < entry.started {
-                    self.end_link(at, End::Reset);
+                    self.end_link(key, End::Reset);
                 } else if entry.standing == Standing::Gone {
                     link.retired = true;
                 }
@@ -123,7 +123,7 @@
     /// What still waits for a connection was decided before this news: it never ran and is decided again. Guards
     /// drains and purges, whose graces may be shorter than a connection takes. It hurts by one forward of a GET.
     fn decide_anew(&mut self, concerned: impl Fn(&Hand, &Out) -> bool) {
-        for (_, link) in &mut self.links {
+        for (_, link) in self.links.iter_mut() {
             if link.up {
                 continue;
             }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -40,8 +40,7 @@
     fn stir_client(&mut self, key: Key) -> bool {
         let full = self.is_full_of_requests();
         let Self { clients, shared, now, .. } = self;
-        let client = clients.get_mut(key.at as usize).filter(|client| client.serial == key.serial);
-        let Some(client) = client else { return false };
+        let Some(client) = clients.get_mut(key) else { return false };
         let (ended, again) = stir(&mut client.connection, shared, full);
         client.ended |= ended;
         client.moved_at = *now;
@@ -50,7 +49,7 @@
     }
 
     fn stir_link(&mut self, key: Key) -> bool {
-        let Some(link) = self.link(key) else { return false };
+        let Some(link) = self.links.get_mut(key) else { return false };
         if !link.up {
             match link.connection.is_up() {
                 Ok(true) => self.link_up(key),
@@ -61,7 +60,7 @@
         }
         let full = self.is_full();
         let Self { links, shared, now, .. } = self;
-        let link = &mut links[key.at as usize];
+        let link = &mut links[key];
         let before = link.connection.unread();
         let (ended, again) = stir(&mut link.connection, shared, full);
         link.ended |= ended;
@@ -77,18 +76,17 @@
     fn accept(&mut self) {
         while self.accepting {
             let over = self.clients.len() >= self.most_clients;
-            let idle = self.clients.iter().filter(|(_, client)| over && client.idle());
-            let idle = idle.min_by_key(|(_, client)| client.moved_at).map(|(at, _)| at);
+            let idle = if over { self.longest_idle() } else { None };
             if over && idle.is_none() {
                 return;
             }
             match self.listener.accept() {
                 Ok(Some(stream)) => {
-                    idle.map(|at| self.clients.remove(at));
-                    let (serial, entry) = (self.next_serial(), self.clients.vacant_key());
-                    let who = Who::Client(Key { at: entry as u32, serial });
+                    idle.map(|key| self.clients.remove(key));
+                    let key = self.clients.next_key();
+                    let who = Who::Client(key);
                     if let Ok(connection) = Connection::accepted(&self.hub, stream, who, &self.accounts) {
-                        self.clients.insert(Client::new(connection, serial, self.now));
+                        self.clients.insert(key, Client::new(connection, self.now));
                         self.counters.clients += 1;
                         self.stirred.push(who);
                     }
@@ -99,10 +97,15 @@
         }
     }
 
+    fn longest_idle(&self) -> Option<Key> {
+        let idle = self.clients.iter().filter(|(_, client)| client.idle());
+        idle.min_by_key(|(_, client)| client.moved_at).map(|(key, _)| key)
+    }
+
     pub fn close_idle_link(&mut self) -> bool {
         let idle = self.links.iter().filter(|(_, link)| link.out.is_empty()).min_by_key(|(_, l)| l.used_at);
-        let Some(at) = idle.map(|(at, _)| at) else { return false };
-        self.drop_link(at);
+        let Some(key) = idle.map(|(key, _)| key) else { return false };
+        self.drop_link(key);
         true
     }
 
@@ -115,14 +118,14 @@
         while let Some(who) = self.dirty.pop() {
             match who {
                 Who::Client(key) => {
-                    let Some(client) = self.client(key) else { continue };
+                    let Some(client) = self.clients.get_mut(key) else { continue };
                     if client.connection.flush().is_err() && !client.ended {
                         client.ended = true;
                         self.heard_clients.push_back(key);
                     }
                 }
                 Who::Link(key) => {
-                    let Some(link) = self.link(key) else { continue };
+                    let Some(link) = self.links.get_mut(key) else { continue };
                     if link.up && link.connection.flush().is_err() && !link.ended {
                         link.ended = true;
                         self.heard_links.push_back(key);
@@ -145,18 +148,19 @@
                 && link.out.is_empty()
                 && (link.retired || idle > Duration::ZERO && now >= link.used_at + idle)
         };
-        while let Some(at) = self.links.iter().find(|(_, link)| done(link)).map(|(at, _)| at) {
+        let done: Vec<Key> = self.links.iter().filter(|(_, link)| done(link)).map(|(key, _)| key).collect();
+        for key in done {
             self.counters.links_idle += 1;
-            self.drop_link(at);
+            self.drop_link(key);
         }
-        for (at, client) in &mut self.clients {
+        for (key, client) in self.clients.iter_mut() {
             let flushed = client.connection.flushed();
             if client.flushed != flushed || client.connection.waiting() == 0 {
                 (client.flushed, client.flushed_at) = (flushed, now);
             } else if now >= client.flushed_at + longest && !client.ended {
                 // It has taken nothing of its answers for longer than any client waits.
                 client.ended = true;
-                self.heard_clients.push_back(client.key(at));
+                self.heard_clients.push_back(key);
             }
         }
     }
--- a/crates/dispatcher/src/transport/accounts.rs
+++ b/crates/dispatcher/src/transport/accounts.rs
@@ -4,11 +4,13 @@
 
 #[derive(Default)]
 pub struct Accounts {
-    descriptors: Gauge,
-    buffered: Gauge,
-    requests: Gauge,
-    pub bytes_in: Cell<u64>,
-    pub bytes_out: Cell<u64>,
+    pub descriptors: Gauge,
+    pub buffered: Gauge,
+    /// Bytes of requests that are in hand or not yet whole.
+    pub requests: Gauge,
+    /// Bytes ever read and ever written.
+    pub bytes_in: Gauge,
+    pub bytes_out: Gauge,
 }
 
 /// A level and the highest that it has been.
@@ -37,22 +39,3 @@
         self.peak.get()
     }
 }
-
-impl Accounts {
-    pub fn descriptors(&self) -> &Gauge {
-        &self.descriptors
-    }
-
-    pub fn buffered(&self) -> &Gauge {
-        &self.buffered
-    }
-
-    /// Bytes of requests that are in hand or not yet whole.
-    pub fn requests(&self) -> &Gauge {
-        &self.requests
-    }
-
-    pub fn count(counter: &Cell<u64>, n: usize) {
-        counter.set(counter.get() + n as u64);
-    }
-}
--- a/crates/dispatcher/src/transport/connection.rs
+++ b/crates/dispatcher/src/transport/connection.rs
@@ -1,10 +1,9 @@
 //! One connection: a socket that never blocks, what came in and was not yet read by a parser, and what waits to go
 //! out. Its callback in the loop only tells the owner that it stirred.
 
-use super::{Accounts, Hub, Owner};
+use super::{Accounts, Hub, Owner, watch};
 use bytes::{Bytes, BytesMut};
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
@@ -47,6 +46,7 @@
         key: O::Key,
         accounts: &Rc<Accounts>,
     ) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
         Self::register(hub, stream, key, accounts, true)
     }
 
@@ -66,18 +66,10 @@
         accounts: &Rc<Accounts>,
         up: bool,
     ) -> io::Result<Self> {
-        stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
-        let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
-        let registration = hub
-            .insert_source(source, move |_, _, owner: &mut O| {
-                owner.stirred(key);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| e.error)
-            .map_err(io::Error::other)?;
-        accounts.descriptors().add(1);
+        let registration = watch(hub, &stream, Interest::BOTH, key)?;
+        accounts.descriptors.add(1);
         Ok(Self {
             hub: hub.clone(),
             stream,
@@ -111,8 +103,8 @@
                 Ok(n) => {
                     read += n;
                     self.inbound.extend_from_slice(&shared[..n]);
-                    self.accounts.buffered().add(n);
-                    Accounts::count(&self.accounts.bytes_in, n);
+                    self.accounts.buffered.add(n);
+                    self.accounts.bytes_in.add(n);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -126,14 +118,14 @@
     pub fn parse<T>(&mut self, parser: impl FnOnce(&mut BytesMut) -> T) -> T {
         let before = self.inbound.len();
         let parsed = parser(&mut self.inbound);
-        self.accounts.buffered().take(before - self.inbound.len());
+        self.accounts.buffered.take(before - self.inbound.len());
         parsed
     }
 
     pub fn push(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
             self.pushed += bytes.len() as u64;
-            self.accounts.buffered().add(bytes.len());
+            self.accounts.buffered.add(bytes.len());
             self.outbound.push_back(bytes);
         }
     }
@@ -159,8 +151,8 @@
 
     fn sent(&mut self, mut n: usize) {
         self.flushed += n as u64;
-        self.accounts.buffered().take(n);
-        Accounts::count(&self.accounts.bytes_out, n);
+        self.accounts.buffered.take(n);
+        self.accounts.bytes_out.add(n);
         while let Some(first) = self.outbound.front_mut().filter(|_| n > 0) {
             let part = n.min(first.len());
             n -= part;
@@ -196,7 +188,7 @@
 impl<O: Owner> Drop for Connection<O> {
     fn drop(&mut self) {
         self.hub.remove(self.registration);
-        self.accounts.buffered().take(self.inbound.len() + self.waiting());
-        self.accounts.descriptors().take(1);
+        self.accounts.buffered.take(self.inbound.len() + self.waiting());
+        self.accounts.descriptors.take(1);
     }
 }
--- a/crates/dispatcher/src/transport/listener.rs
+++ b/crates/dispatcher/src/transport/listener.rs
@@ -1,8 +1,7 @@
 //! The listening socket.
 
-use super::{Accounts, Hub, Owner};
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
+use super::{Accounts, Hub, Owner, watch};
+use calloop::Interest;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -28,13 +27,8 @@
         socket.bind(&at.into())?;
         socket.listen(BACKLOG)?;
         let socket = Rc::new(TcpListener::from(socket));
-        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Edge);
-        hub.insert_source(source, move |_, _, owner: &mut O| {
-            owner.stirred(key);
-            Ok(PostAction::Continue)
-        })
-        .map_err(|e| io::Error::other(e.error))?;
-        accounts.descriptors().add(1);
+        watch(hub, &socket, Interest::READ, key)?;
+        accounts.descriptors.add(1);
         Ok(Self { socket })
     }
 
