--- a/crates/dispatcher/src/program/start.rs
+++ b/crates/dispatcher/src/program/start.rs
@@ -1,4 +1,4 @@
-//! What the program is told at its start.
+//! What the program is told at its start, and what of it may change later.
 
 use crate::protocol::changelog::Changes;
 use crate::routing::{Posting, Room};
@@ -25,7 +25,7 @@
     settings: Values,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, PartialEq)]
 struct Limits {
     memory_mb: f64,
     sockets: usize,
@@ -36,15 +36,30 @@
     std::fs::read_to_string(&file).map_err(|e| format!("{FILE} {file}: {e}"))
 }
 
+/// Where the change log is by a later file, and the fields in which that file differs from the one of the start
+/// without effect. The events known and the seed belong to a start and are passed over.
+pub fn moved(started: &str, text: &str) -> Result<(SocketAddr, Vec<&'static str>), String> {
+    let (was, is) = (Told::parse(started)?, Told::parse(text)?);
+    let same = [
+        ("name", was.name == is.name),
+        ("listen", was.listen == is.listen),
+        ("limits", was.limits == is.limits),
+        ("settings", was.settings == is.settings),
+    ];
+    let kept = same.iter().filter(|(_, same)| !same).map(|(name, _)| *name).collect();
+    Ok((address("changelog", &is.changelog)?, kept))
+}
+
+fn address(what: &str, told: &str) -> Result<SocketAddr, String> {
+    told.parse().map_err(|_| format!("{FILE}: {what} {told:?} is not an address"))
+}
+
 impl<'a> Told<'a> {
     pub fn parse(text: &'a str) -> Result<Self, String> {
         serde_json::from_str(text).map_err(|e| format!("{FILE}: {e}"))
     }
 
     pub fn posting(&self) -> Result<Posting<'_>, String> {
-        let address = |what: &str, told: &str| -> Result<SocketAddr, String> {
-            told.parse().map_err(|_| format!("{FILE}: {what} {told:?} is not an address"))
-        };
         let seed = u64::from_str_radix(&self.seed, 16);
         let known: Changes<'_> =
             serde_json::from_str(self.known.get()).map_err(|e| format!("{FILE}: known: {e}"))?;
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -29,6 +29,9 @@
     pub changes: u64,
     pub purges: u64,
     pub polls_failed: u64,
+    /// Later configurations, followed and unusable.
+    pub reread: u64,
+    pub reread_failed: u64,
     /// Messages that could not be read, and answers that no GET waited for.
     pub faults: u64,
     pub strays: u64,
@@ -100,7 +103,7 @@
         write!(
             f,
             "\nconnections: clients {}; hosts {} failed {} broken {} idle {}\n\
-             change log: changes {} purges {} polls failed {}\n\
+             change log: changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
              faults: unreadable {} strays {} broken {}\n\
              rounds: {} longest {} us",
             self.clients,
@@ -111,6 +114,8 @@
             self.changes,
             self.purges,
             self.polls_failed,
+            self.reread,
+            self.reread_failed,
             self.faults,
             self.strays,
             self.broken,
--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -24,14 +24,44 @@
     asked_at: Duration,
     /// When to give up or to ask again.
     pub due: Duration,
+    /// The other side has closed; what came before may still be a whole answer.
+    ended: bool,
     /// The last event that was taken.
     pub last: u64,
+    /// An event that was refused once, because those before it were missing.
+    beyond: u64,
 }
 
 impl Feed {
     pub fn new(address: SocketAddr) -> Self {
-        let (asked_at, due) = (Duration::ZERO, Duration::ZERO);
-        Self { address, host: address.to_string(), connection: None, asked: false, asked_at, due, last: 0 }
+        Self {
+            address,
+            host: address.to_string(),
+            connection: None,
+            asked: false,
+            asked_at: Duration::ZERO,
+            due: Duration::ZERO,
+            ended: false,
+            last: 0,
+            beyond: 0,
+        }
+    }
+
+    /// Asks at another address from now on, at once; the numbers go on.
+    pub fn follow(&mut self, address: SocketAddr) {
+        (self.address, self.host) = (address, address.to_string());
+        self.connection = None;
+        (self.asked, self.due) = (false, Duration::ZERO);
+    }
+
+    /// Whether an event that others should come before is taken: at the start. Later not at first, for those are
+    /// asked for again on a new connection; then it is, for the change log no longer has them.
+    pub fn takes_beyond(&mut self, number: u64, now: Duration) -> bool {
+        let again = self.connection.is_none() || std::mem::replace(&mut self.beyond, number) == number;
+        if !again {
+            self.lose(now);
+        }
+        again
     }
 
     /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
@@ -44,6 +74,7 @@
             return overdue;
         }
         if self.connection.is_none() {
+            self.ended = false;
             self.connection = Connection::opening(hub, self.address, Who::Feed, accounts).ok();
             if self.connection.is_none() {
                 self.lose(now);
@@ -61,9 +92,9 @@
         overdue
     }
 
-    fn lose(&mut self, now: Duration) {
+    pub fn lose(&mut self, now: Duration) {
         self.connection = None;
-        (self.asked, self.due) = (false, now + AGAIN);
+        (self.asked, self.ended, self.due) = (false, false, now + AGAIN);
     }
 
     /// After an answer without news: asks again at once, unless the answer had not waited for any.
@@ -73,20 +104,16 @@
         }
     }
 
-    /// Reads and writes what can be; a loss is told.
-    pub fn stir(&mut self, shared: &mut [u8], now: Duration) -> Result<Reading, Fault> {
-        let Some(connection) = &mut self.connection else { return Ok(Reading::Dry) };
+    /// Reads and writes what can be; true: there is more to read.
+    pub fn stir(&mut self, shared: &mut [u8]) -> bool {
+        let Some(connection) = &mut self.connection else { return false };
         let reading = match connection.is_up().and_then(|up| connection.flush().map(|()| up)) {
             Ok(true) => connection.read(shared),
             Ok(false) => Reading::Dry,
             Err(_) => Reading::Ended,
         };
-        // What came before the end may still be a whole answer.
-        if reading == Reading::Ended && connection.unread() == 0 {
-            self.lose(now);
-            return Err(Fault("the change log's connection was lost"));
-        }
-        Ok(reading)
+        self.ended |= reading == Reading::Ended;
+        reading == Reading::More
     }
 
     /// The next whole answer.
@@ -97,6 +124,10 @@
                 (self.asked, self.due) = (false, now);
                 Ok(Some(body))
             }
+            Ok(None) if self.ended => {
+                self.lose(now);
+                Err(Fault("the change log's connection was lost"))
+            }
             Ok(None) => Ok(None),
             Err(fault) => {
                 self.lose(now);
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -72,7 +72,10 @@
         let mut started = Self { router, desk };
         let now = started.desk.now;
         started.router.round(now, &mut started.desk, |round| {
+            let last = posting.known.last;
             tell_changes(round, posting.known, ListKind::Kept);
+            // A start is told all there was; what it leaves out is of no use any more.
+            round.desk().told_up_to(last);
         });
         Ok(started)
     }
@@ -131,6 +134,15 @@
         self.desk.stop();
     }
 
+    /// Follows the change log at another address, where a later configuration could be used.
+    pub fn follow(&mut self, changelog: Option<SocketAddr>) {
+        self.desk.counters.reread += u64::from(changelog.is_some());
+        self.desk.counters.reread_failed += u64::from(changelog.is_none());
+        if let Some(changelog) = changelog {
+            self.desk.feed.follow(changelog);
+        }
+    }
+
     pub fn is_done(&self) -> bool {
         self.desk.is_done()
     }
@@ -154,7 +166,7 @@
     let before = round.desk().last_change();
     match serde_json::from_slice(body) {
         Ok(changes) => tell_changes(round, changes, ListKind::Whole),
-        Err(e) => round.desk().fault(format_args!("an answer of the change log can't be read: {e}")),
+        Err(e) => round.desk().unread(format_args!("an answer of the change log can't be read: {e}")),
     }
     round.desk().polled(before);
 }
@@ -162,8 +174,10 @@
 /// Each numbered event once, in order; `whole` is what a whole list counts as.
 fn tell_changes(round: &mut Round<'_, Desk>, changes: changelog::Changes<'_>, whole: ListKind) {
     for change in &changes.results {
-        if !round.desk().is_next(change.number) {
-            continue;
+        match round.desk().is_next(change.number) {
+            Some(true) => {}
+            Some(false) => continue,
+            None => return,
         }
         if let Some(fleet) = &change.fleet {
             let entries = round.desk().listed(&fleet.endpoints);
@@ -177,5 +191,4 @@
             }
         }
     }
-    round.desk().told_up_to(changes.last);
 }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -6,6 +6,7 @@
 use crate::protocol::changelog::Endpoint;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
+use std::fmt::Arguments;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,13 @@
         self.feed.last
     }
 
+    /// An answer that could not be read is asked for again on a new connection.
+    pub fn unread(&mut self, what: Arguments<'_>) {
+        self.counters.polls_failed += 1;
+        self.fault(what);
+        self.feed.lose(self.now);
+    }
+
     /// An answer was taken; `before` was the last event until then.
     pub fn polled(&mut self, before: u64) {
         if self.feed.last == before {
@@ -38,18 +46,21 @@
         }
     }
 
-    /// Whether an event has not been taken yet.
-    pub fn is_next(&mut self, number: u64) -> bool {
-        let new = number > self.feed.last;
-        if new {
-            let last = self.feed.last;
-            if number != last + 1 {
-                self.fault(format_args!("the change log went from {last} to {number}"));
+    /// Whether an event has not been taken yet; none if others should have come before it.
+    pub fn is_next(&mut self, number: u64) -> Option<bool> {
+        let last = self.feed.last;
+        if number <= last {
+            return Some(false);
+        }
+        if number != last + 1 {
+            self.fault(format_args!("the change log went from {last} to {number}"));
+            if !self.feed.takes_beyond(number, self.now) {
+                return None;
             }
-            self.feed.last = number;
-            self.counters.changes += 1;
         }
-        new
+        self.feed.last = number;
+        self.counters.changes += 1;
+        Some(true)
     }
 
     pub fn told_up_to(&mut self, last: u64) {
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -23,9 +23,7 @@
                 Who::Link(key) => self.stir_link(key),
                 Who::Feed => {
                     self.feed_heard = true;
-                    let stirred = self.feed.stir(&mut self.shared, self.now);
-                    self.counters.polls_failed += u64::from(stirred.is_err());
-                    stirred == Ok(Reading::More)
+                    self.feed.stir(&mut self.shared)
                 }
             };
             self.stirred.extend(again.then_some(who));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -328,6 +328,13 @@
         stream.outbound.extend_from_slice(answer.as_bytes());
     }
 
+    /// A part of an answer to the poll that waits, and the end of the connection.
+    pub fn break_off(&mut self, part: &str) {
+        self.polled();
+        let mut stream = self.changelog.streams.pop().unwrap();
+        write!(stream.socket, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{part}").unwrap();
+    }
+
     /// Turns until a poll waits at the change log.
     pub fn polled(&mut self) {
         let start = Instant::now();
@@ -337,6 +344,21 @@
         }
     }
 
+    /// The poll that waits, as a line.
+    pub fn poll(&mut self) {
+        self.polled();
+        let stream = self.changelog.streams.last().unwrap();
+        let text = String::from_utf8_lossy(&stream.inbound).into_owned();
+        writeln!(self.trace, "change log reads {}", text.lines().next().unwrap_or_default()).unwrap();
+    }
+
+    /// Another change log; what the earlier one has open stays so, in silence.
+    pub fn move_changelog(&mut self) {
+        let old = std::mem::replace(&mut self.changelog, StandIn::new("change log".into()));
+        self.hosts.push(StandIn { name: "old change log".into(), ..old });
+        self.dispatcher.follow(Some(self.changelog.address));
+    }
+
     pub fn hang_up(&mut self, client: usize) {
         self.clients[client].stream.shutdown(Shutdown::Both).unwrap();
         self.clients[client].closed = true;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,7 @@
 
 use common::{Rig, record, request, settings};
 use insta::assert_snapshot;
-use myrtlegauge_dispatcher::program::Told;
+use myrtlegauge_dispatcher::program::{Told, moved};
 use myrtlegauge_dispatcher::routing::{Dispatcher, Room};
 use serde_json::json;
 
@@ -207,6 +207,54 @@
     assert_snapshot!(rig.trace);
 }
 
+#[test]
+fn a_change_log_that_moves_or_breaks_off_tells_each_event_once() {
+    let mut rig = Rig::new();
+    rig.get(1, "photo", &[]);
+    rig.until(1);
+    let first = rig.last.clone();
+    rig.poll();
+    rig.say("it moves while a GET is in hand; the numbers go on");
+    rig.move_changelog();
+    rig.poll();
+    rig.answer(1, "200", "why=TCP_HIT", "in hand");
+    rig.until(1);
+    rig.say("events are missing before the one that came: asked for again; then the answer breaks off");
+    let purge = |seq: u64| json!({"seq": seq, "invalidate": {"bucket": 99, "time": 0}});
+    rig.changes(&json!({"seq": 7, "results": [purge(3)]}).to_string());
+    rig.poll();
+    rig.break_off("{\"seq\": 3, \"results\": [{\"seq\": 2, \"fl");
+    rig.poll();
+    let leaves = json!({"seq": 2, "fleet": {"endpoints": [rig.line(&first, "leaving", 0)]}});
+    rig.changes(&json!({"seq": 7, "results": [leaves, purge(3)]}).to_string());
+    rig.poll();
+    rig.get(2, "photo", &[]);
+    rig.until(1);
+    assert_ne!(rig.last, first);
+    assert_snapshot!(rig.trace);
+}
+
+#[test]
+fn of_a_later_configuration_only_the_change_log_counts() {
+    let told = json!({"name": "n1", "listen": "127.0.0.1:1", "seed": "8c", "changelog": "127.0.0.1:2",
+        "limits": {"memory_mb": 192, "sockets": 1024}, "known": {}, "settings": settings()});
+    let read = |name: &str, value: serde_json::Value| {
+        let mut later = told.clone();
+        later[name] = value;
+        format!("{name}: {:?}", moved(&told.to_string(), &later.to_string()))
+    };
+    let half = &told.to_string()[..200];
+    let lines = [
+        read("changelog", json!("127.0.0.1:3")),
+        read("changelog", json!("elsewhere")),
+        read("seed", json!("8d")),
+        read("limits", json!({"memory_mb": 64, "sockets": 1024})),
+        read("settings", json!({})),
+        format!("half: {:?}", moved(&told.to_string(), half).map_err(|e| e.starts_with("ROUTER_CONFIG: "))),
+    ];
+    assert_snapshot!(lines.join("\n"));
+}
+
 #[test]
 fn a_connection_belongs_to_one_life_of_its_host() {
     let mut rig = Rig::new();
