Requests that can't become usable are refused at once; an id in hand is not taken twice

Checked: the served ones all bear the id of a GET in hand (two hands matched by one id in read_link); with ids refused while in hand, none is left.

At fault: asked() took any id; Partial kept a spoilt request until its last byte; nothing bounded the time to become whole; a partial request kept a mute connection from being the one that makes room; the module held a host's 500 to an id that no host knows against that host and against the fill's source.

Now: over a bound is refused there and then, begun and not whole in 1.5 s as well; a connection with nothing whole in that time is closed, and such ones make room first; object, part and group are held to their form; a 500 counts against a host only once another host returns the same GET.

--- a/crates/dispatcher/src/protocol/fastcgi.rs
+++ b/crates/dispatcher/src/protocol/fastcgi.rs
@@ -2,6 +2,7 @@
 
 use super::Fault;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::time::Duration;
 
 const VERSION: u8 = 1;
 const HEADER: usize = 8;
@@ -44,7 +45,7 @@
     pub group: Bytes,
     pub held: Bytes,
     pub body: Bytes,
-    /// It broke a bound or could not be read; it is owed an answer all the same.
+    /// It could not be read; it is owed an answer all the same.
     pub spoilt: bool,
     /// Bytes that it holds.
     pub long: usize,
@@ -57,6 +58,8 @@
     Request(Request),
     /// The client waits no longer for this one.
     Abort(u16),
+    /// It broke a bound before it was whole; its rest is passed over.
+    Refuse(u16),
     /// To be written back as it stands; no request comes of it.
     Reply(Bytes),
 }
@@ -68,7 +71,9 @@
     params: BytesMut,
     params_done: bool,
     body: BytesMut,
-    spoilt: bool,
+    /// It is over for its client; what still comes of it is passed over.
+    refused: bool,
+    since: Duration,
 }
 
 /// The requests of one connection that are not yet whole.
@@ -88,9 +93,21 @@
         self.partial.is_empty()
     }
 
-    /// The next message in what came in; none until more has come. `open` are the requests that were handed out
-    /// and not answered yet.
-    pub fn next<T>(&mut self, inbound: &mut BytesMut, open: &[(u16, T)]) -> Result<Option<Message>, Fault> {
+    /// A request that was begun before `then` and is not yet whole; it is refused from now on.
+    pub fn refuse_older(&mut self, then: Duration) -> Option<u16> {
+        let old = self.partial.iter_mut().find(|partial| !partial.refused && partial.since < then)?;
+        old.refuse();
+        Some(old.number)
+    }
+
+    /// The next message in what came in by `now`; none until more has come. `open` are the requests that were
+    /// handed out and not answered yet.
+    pub fn next<T>(
+        &mut self,
+        inbound: &mut BytesMut,
+        open: &[(u16, T)],
+        now: Duration,
+    ) -> Result<Option<Message>, Fault> {
         while inbound.len() >= HEADER {
             if inbound[0] != VERSION {
                 return Err(Fault("a FastCGI record of another version"));
@@ -108,7 +125,7 @@
             let message = if number == 0 {
                 management(kind, record)?
             } else {
-                self.record(kind, number, record, open)?
+                self.record(kind, number, record, open, now)?
             };
             if message.is_some() {
                 return Ok(message);
@@ -123,6 +140,7 @@
         number: u16,
         record: Bytes,
         open: &[(u16, T)],
+        now: Duration,
     ) -> Result<Option<Message>, Fault> {
         let is_open = open.iter().any(|(known, _)| *known == number);
         let at = self.partial.iter().position(|p| p.number == number);
@@ -136,32 +154,30 @@
                     return Ok(Some(Message::Reply(end(number, OVERLOADED))));
                 }
                 let keep_conn = record[2] & KEEP_CONN != 0;
-                self.partial.push(Partial { number, keep_conn, ..Partial::default() });
+                self.partial.push(Partial { number, keep_conn, since: now, ..Partial::default() });
             }
             (BEGIN_REQUEST, _) => return Err(Fault("a FastCGI request begun twice or malformed")),
             (ABORT_REQUEST, Some(at)) => {
-                self.partial.swap_remove(at);
-                return Ok(Some(Message::Reply(end(number, COMPLETE))));
+                let refused = self.partial.swap_remove(at).refused;
+                return Ok((!refused).then(|| Message::Reply(end(number, COMPLETE))));
             }
             (ABORT_REQUEST, None) if is_open => return Ok(Some(Message::Abort(number))),
-            (PARAMS, Some(at)) => {
-                let partial = &mut self.partial[at];
-                partial.params_done |= record.is_empty();
-                partial.spoilt |= partial.params.len() + record.len() > PARAMS_MOST;
-                if !partial.spoilt {
-                    partial.params.extend_from_slice(&record);
-                }
-            }
             (STDIN, Some(at)) if record.is_empty() => {
                 let partial = self.partial.swap_remove(at);
-                return Ok(Some(Message::Request(partial.whole())));
+                return Ok((!partial.refused).then(|| Message::Request(partial.whole())));
             }
-            (STDIN, Some(at)) => {
+            (PARAMS | STDIN, Some(at)) if !self.partial[at].refused => {
                 let partial = &mut self.partial[at];
-                partial.spoilt |= partial.body.len() + record.len() > BODY_MOST;
-                if !partial.spoilt {
-                    partial.body.extend_from_slice(&record);
+                partial.params_done |= record.is_empty();
+                let (part, most) = match kind {
+                    PARAMS => (&mut partial.params, PARAMS_MOST),
+                    _ => (&mut partial.body, BODY_MOST),
+                };
+                if part.len() + record.len() > most || kind == STDIN && !partial.params_done {
+                    partial.refuse();
+                    return Ok(Some(Message::Refuse(number)));
                 }
+                part.extend_from_slice(&record);
             }
             // Records of other kinds, and those of requests that are over, are passed over.
             _ => {}
@@ -171,6 +187,11 @@
 }
 
 impl Partial {
+    /// Gives back what it holds.
+    fn refuse(&mut self) {
+        (self.refused, self.params, self.body) = (true, BytesMut::new(), BytesMut::new());
+    }
+
     fn whole(self) -> Request {
         let (params, body) = (self.params.freeze(), self.body.freeze());
         let long = params.len() + body.len();
@@ -189,7 +210,7 @@
             };
             *field = value;
         });
-        request.spoilt = self.spoilt || !self.params_done || read.is_none();
+        request.spoilt = !self.params_done || read.is_none();
         request
     }
 }
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -14,9 +14,9 @@
     /// Reads on with one client until a GET is whole; none once nothing more has come.
     pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
         loop {
-            let Self { clients, accounts, .. } = self;
+            let Self { clients, accounts, now, .. } = self;
             let client = clients.get_mut(key)?;
-            match client.next(&accounts.requests) {
+            match client.next(&accounts.requests, *now) {
                 Ok(Some(Message::Request(request))) => {
                     if let Some(get) = self.asked(key, place, request) {
                         return Some(get);
@@ -33,6 +33,7 @@
                         self.dirty.push(Who::Client(key));
                     }
                 }
+                Ok(Some(Message::Refuse(number))) => self.refuse(key, number),
                 Ok(None) => {
                     if client.ended || client.last && client.quiet() {
                         self.drop_client(key);
@@ -48,13 +49,30 @@
         }
     }
 
+    /// A request that broke a bound or did not become whole is answered at once; its connection is closed once
+    /// nothing else is open there, for what follows is of no use. Usual clients send a request in one go.
+    pub fn refuse(&mut self, key: Key, number: u16) {
+        self.counters.unusable += 1;
+        self.fault(format_args!("a request broke a bound or did not become whole"));
+        if let Some(client) = self.clients.get_mut(key) {
+            client.last = true;
+        }
+        self.write_answer(key, number, &Answer::Unusable);
+    }
+
     fn asked(&mut self, key: Key, place: Place, mut request: Request) -> Option<Get> {
         request.held = door::bare(&request.held);
         let (number, keep_conn) = (request.number, request.keep_conn);
-        let get = self.door.get(&request);
+        let (get, id) = (self.door.get(&request), door::hex(&request.id).unwrap_or_default());
+        // Two GETs under one id would take each other's answers at a host.
+        let twice = get.is_some() && self.hands.holds(id);
+        self.counters.twice += u64::from(twice);
+        let get = get.filter(|_| !twice);
         let ready = self.is_ready();
         let health = get.is_none() && &request.path[..] == b"/health";
-        self.clients.get_mut(key)?.last |= !keep_conn;
+        let client = self.clients.get_mut(key)?;
+        client.last |= !keep_conn;
+        client.asked = true;
         let Some(get) = get else {
             let answer = if health { Answer::Healthy(ready) } else { Answer::Unusable };
             self.counters.health += u64::from(health);
@@ -71,7 +89,7 @@
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
         self.accounts.requests.add(request.long);
-        self.hands.open(place, Hand { owed, request, get, until, ..Hand::default() });
+        self.hands.open(place, Hand { owed, id, request, get, until, ..Hand::default() });
         Some(get)
     }
 
@@ -115,7 +133,7 @@
     }
 
     /// A client that is gone waits for nothing.
-    fn drop_client(&mut self, key: Key) {
+    pub fn drop_client(&mut self, key: Key) {
         let client = self.clients.remove(key);
         self.accounts.requests.take(client.reader.long());
         for &(_, place) in &client.open {
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -17,6 +17,11 @@
     /// To be closed once nothing is open and all is written.
     pub last: bool,
     pub ended: bool,
+    /// A whole request has come.
+    pub asked: bool,
+    pub since: Duration,
+    /// Since when a part of a record waits for its rest.
+    pub part_since: Option<Duration>,
     /// When it last came in or went out.
     pub moved_at: Duration,
     /// How much of its answers had gone out when some last did, and when that was.
@@ -32,6 +37,9 @@
             open: Vec::new(),
             last: false,
             ended: false,
+            asked: false,
+            since: now,
+            part_since: None,
             moved_at: now,
             flushed: 0,
             flushed_at: now,
@@ -42,21 +50,33 @@
         self.open.is_empty() && self.connection.waiting() == 0
     }
 
-    /// Quiet, and with no request on its way.
+    /// Quiet, and with no request on its way; or never heard of but for bytes that made no request.
     pub fn idle(&self) -> bool {
-        self.quiet() && self.reader.is_empty() && self.connection.unread() == 0
+        self.quiet() && (!self.asked || self.reader.is_empty() && self.connection.unread() == 0)
     }
 
     /// The next message of what came; requests that are not yet whole are counted as held.
-    pub fn next(&mut self, requests: &Gauge) -> Result<Option<Message>, Fault> {
-        let before = self.reader.long();
+    pub fn next(&mut self, requests: &Gauge, now: Duration) -> Result<Option<Message>, Fault> {
+        let (before, unread) = (self.reader.long(), self.connection.unread());
         let Self { connection, reader, open, .. } = self;
-        let next = connection.parse(|inbound| reader.next(inbound, open));
+        let next = connection.parse(|inbound| reader.next(inbound, open, now));
         requests.add(self.reader.long());
         requests.take(before);
+        self.part_since = self.part_since.filter(|_| self.connection.unread() == unread);
+        if self.connection.unread() > 0 {
+            self.part_since.get_or_insert(now);
+        }
         next
     }
 
+    /// A request that was begun before `then` and is not yet whole; it is refused.
+    pub fn refuse_older(&mut self, requests: &Gauge, then: Duration) -> Option<u16> {
+        let before = self.reader.long();
+        let refused = self.reader.refuse_older(then);
+        requests.take(before - self.reader.long());
+        refused
+    }
+
     /// The request is over; none if it was before.
     pub fn close(&mut self, number: u16) -> Option<Place> {
         let at = self.open.iter().position(|&(open, _)| open == number)?;
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -13,6 +13,10 @@
     pub abandoned: u64,
     /// Requests that could not be read or used, answered errored without the module.
     pub unusable: u64,
+    /// Among those, requests under the id of a GET in hand.
+    pub twice: u64,
+    /// Connections closed for saying nothing that is whole in time.
+    pub mute: u64,
     pub health: u64,
     pub forwards: u64,
     pub withdrawn: u64,
@@ -82,7 +86,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "GETs: taken {} returned {} (not modified {}) shed {} errored {} abandoned {} unusable {} health {}",
+            "GETs: taken {} returned {} (not modified {}) shed {} errored {} abandoned {} unusable {} (twice {}) health {}",
             self.taken,
             self.returned,
             self.not_modified,
@@ -90,6 +94,7 @@
             self.errored,
             self.abandoned,
             self.unusable,
+            self.twice,
             self.health
         )?;
         write!(f, "forwards: sent {} withdrawn {}", self.forwards, self.withdrawn)?;
@@ -102,11 +107,12 @@
         }
         write!(
             f,
-            "\nconnections: clients {}; hosts {} failed {} broken {} idle {}\n\
+            "\nconnections: clients {} mute {}; hosts {} failed {} broken {} idle {}\n\
              change log: changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
              faults: unreadable {} strays {} broken {}\n\
              rounds: {} longest {} us",
             self.clients,
+            self.mute,
             self.links,
             self.links_failed,
             self.links_broken,
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -50,9 +50,9 @@
         let held = request.held.is_empty() || request.held.len() <= TAG_LONG && is_token(&request.held);
         Some(Get {
             ds: self.services.iter().position(|name| name == service).filter(|_| usable && held)?,
-            object: or_none(hex, &request.key)?,
+            object: or_none(|key| hex(key).filter(|_| key.len() == KEY_LONG), &request.key)?,
             part: u32::try_from(or_none(digits, &request.part)?).ok()?,
-            group: or_none(digits, &request.group)?,
+            group: or_none(digits, &request.group).filter(|&group| group <= GROUP_MOST)?,
             size_kb: 0.0,
             viewer_timeout: span(budget),
         })
@@ -103,6 +103,8 @@
 /// Digits of any other number, and bytes of a copy's tag.
 const NUMBER_LONG: usize = 10;
 const TAG_LONG: usize = 64;
+/// Groups of objects are numbered up to here.
+const GROUP_MOST: u64 = 255;
 /// ms; no client waits longer than an hour.
 const BUDGET_MOST: f64 = 3.6e6;
 
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -3,12 +3,14 @@
 use super::Key;
 use crate::protocol::fastcgi::Request;
 use myrtlegauge::interface::{Forward, Get, Place};
+use std::collections::HashSet;
 use std::time::Duration;
 
 #[derive(Default)]
 pub struct Hand {
     /// The client's connection and the request there; none once answered or abandoned.
     pub owed: Option<(Key, u16)>,
+    pub id: u64,
     /// As it came; what goes on unchanged is taken from here.
     pub request: Request,
     pub get: Get,
@@ -34,6 +36,7 @@
 #[derive(Default)]
 pub struct Hands {
     places: Vec<Hand>,
+    ids: HashSet<u64>,
     pub owed: usize,
 }
 
@@ -43,6 +46,7 @@
             self.places.resize_with(place + 1, Hand::default);
         }
         self.owed += 1;
+        self.ids.insert(hand.id);
         self.places[place] = hand;
     }
 
@@ -57,7 +61,13 @@
         Some(owed)
     }
 
+    /// A GET under this id is in hand, or what was sent on for it is still out.
+    pub fn holds(&self, id: u64) -> bool {
+        self.ids.contains(&id)
+    }
+
     pub fn clear(&mut self, place: Place) {
+        self.ids.remove(&self.places[place].id);
         self.places[place] = Hand::default();
     }
 }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -7,6 +7,9 @@
 use crate::transport::{Connection, Reading};
 use std::time::Duration;
 
+/// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips.
+const WHOLE_WITHIN: Duration = Duration::from_millis(1500);
+
 impl Desk {
     /// Reads what came on all that stirred, as far as buffers allow.
     pub fn read(&mut self) {
@@ -69,8 +72,8 @@
         again
     }
 
-    /// Lets in who waits. Over the bound the connection idle for longest makes room; with none idle, they wait in
-    /// the listener's queue.
+    /// Lets in who waits. Over the bound the connection that has asked nothing for longest makes room, else the
+    /// one idle for longest; with none idle, they wait in the listener's queue.
     fn accept(&mut self) {
         while self.accepting {
             let over = self.clients.len() >= self.most_clients;
@@ -80,7 +83,7 @@
             }
             match self.listener.accept() {
                 Ok(Some(stream)) => {
-                    idle.map(|key| self.clients.remove(key));
+                    idle.into_iter().for_each(|key| self.drop_client(key));
                     let key = self.clients.next_key();
                     let who = Who::Client(key);
                     if let Ok(connection) = Connection::accepted(&self.hub, stream, who, &self.accounts) {
@@ -97,7 +100,8 @@
 
     fn longest_idle(&self) -> Option<Key> {
         let idle = self.clients.iter().filter(|(_, client)| client.idle());
-        idle.min_by_key(|(_, client)| client.moved_at).map(|(key, _)| key)
+        let first = |client: &Client| if client.asked { client.moved_at } else { client.since };
+        idle.min_by_key(|(_, client)| (client.asked, first(client))).map(|(key, _)| key)
     }
 
     pub fn close_idle_link(&mut self) -> bool {
@@ -151,6 +155,7 @@
             self.counters.links_idle += 1;
             self.drop_link(key);
         }
+        self.tidy_clients();
         for (key, client) in self.clients.iter_mut() {
             let flushed = client.connection.flushed();
             if client.flushed != flushed || client.connection.waiting() == 0 {
@@ -162,6 +167,34 @@
             }
         }
     }
+
+    /// Refuses requests that are begun and do not become whole, and closes connections that say nothing whole. It
+    /// hurts a client that takes longer to write a request than this, which on a clear network none does; while
+    /// buffers are full nothing is read here, and nobody is blamed.
+    fn tidy_clients(&mut self) {
+        if self.is_full_of_requests() {
+            return;
+        }
+        let then = self.now.saturating_sub(WHOLE_WITHIN);
+        let stuck = |client: &Client| {
+            client.part_since.is_some_and(|since| since < then) || !client.asked && client.since < then
+        };
+        let keys: Vec<Key> =
+            self.clients.iter().filter(|(_, c)| !c.idle() || !c.asked).map(|(k, _)| k).collect();
+        for key in keys {
+            while let Some(client) = self.clients.get_mut(key)
+                && let Some(number) = client.refuse_older(&self.accounts.requests, then)
+            {
+                self.refuse(key, number);
+            }
+            let client = &mut self.clients[key];
+            if stuck(client) && !client.ended {
+                client.ended = true;
+                self.counters.mute += 1;
+                self.heard_clients.push_back(key);
+            }
+        }
+    }
 }
 
 /// Writes what waits and reads what came; whether the connection has ended, and whether there is more to read.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
-//! All decisions of a router. `Router::new` reads the settings once; then `Router::round(now, &mut out,
-//! |round| …)` is called once for all that came in, and the closure makes one plain call per message on
-//! `Round`. Decisions go straight into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`.
-//! Times are since the start.
+//! All decisions of a router. `Router::new` reads the settings; `Router::round(now, &mut out, |round| …)` is
+//! called once for all that came in, and the closure makes one plain call per message on `Round`. Decisions go
+//! straight into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`. Times are since the start.
 //!
 //! The design: a consistent-hash ring names cache and parent; a windowed count of origin fills sets `busy`;
 //! busy doubles the accepted age of a delivery service at each miss, up to its upper bound; idle rejects
@@ -71,8 +70,7 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out together that are always let be, of all routers of a source and of each one: enough to notice
-/// that a trouble is over; and times as many at the start.
+/// fills out that are always let be, of all routers of a source and of each; and times as many at the start.
 const FILLS_LEAST: f64 = 8.0;
 const OWN_LEAST: f64 = 1.0;
 const FILLS_FIRST: f64 = 4.0;
@@ -154,9 +152,8 @@
         (self.failures & ((1 << FEW) - 1)).count_ones() > FEW / 2
     }
 
-    /// Bounds the fills out together from one source by whether they come in time: guards the location's
-    /// link, parents and the origin, whatever slows them. It hurts where a slow cache spoils a good source's
-    /// count.
+    /// Bounds the fills out from one source by whether they come in time: guards the location's link, parents
+    /// and the origin, whatever slows them. It hurts where a slow cache spoils a good source's count.
     fn bound_fills(&mut self, in_time: bool, now: Duration) {
         if in_time {
             self.fill_limit += if self.fills_out + 1.0 >= self.fill_limit { 1.0 } else { 0.0 };
@@ -253,8 +250,7 @@
         told
     }
 
-    /// The design's flag: over this router's share of a told rate, or, with none, by slow and failed fills
-    /// alone.
+    /// The design's flag: over this router's share of a told rate, or, with none, by slow and failed fills.
     fn counts_busy(&self) -> bool {
         let (all, bad) = self.fills.sums();
         match self.site.origin_rate {
@@ -349,8 +345,7 @@
         self.hosts[host].crowd.slowness(self.site.neighbours, told)
     }
 
-    /// The cache that the ring names, or the next that can take the GET in time; none where no open one can.
-    /// With it comes whether any is open.
+    /// The cache that the ring names, or the next that can take the GET in time; and whether any is open.
     fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let g = &self.gets[place];
@@ -513,8 +508,7 @@
         self.out.forward(place, &forward);
     }
 
-    /// The final answer of a GET that the router gives up on, at once. Idempotent ones and those proven not
-    /// run are shed, with a time to come back where the client hears it.
+    /// The final answer of a GET given up on, at once: idempotent or proven not run, it is shed.
     fn give_up(&mut self, place: Place) {
         let r = &mut *self.r;
         let g = &mut r.gets[place];
@@ -529,8 +523,7 @@
         self.free(place);
     }
 
-    /// Calls off what is out for an answered GET. Its place is reused only when nothing is out, so that no
-    /// late outcome can meet another GET.
+    /// Calls off what is out for an answered GET. Its place is reused once nothing is, so no late outcome errs.
     fn free(&mut self, place: Place) {
         let g = &mut self.r.gets[place];
         if let Some(sent) = g.out.as_mut().filter(|s| !s.withdrawn && self.r.site.cancel) {
@@ -561,7 +554,13 @@
         g.source_lacks |= o.end == End::Miss;
         g.tried = [sent.to.host, sent.to.source].map(|tried| Some(tried).filter(|_| o.end != End::Miss));
         let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
-        let sending = g.sending;
+        let (sending, doubted) = (g.sending, g.doubted);
+        // Two hosts that err tell of the GET, one that errs where another returns, of the host: guards against
+        // hosts that err, not those that were asked what nobody can answer. It hurts by a second forward.
+        g.doubted = if o.end == End::Errored { doubted.xor(Some(sent.to.host)) } else { doubted };
+        if let Some(host) = doubted.filter(|&host| o.end == End::Returned && host != sent.to.host) {
+            self.r.hosts[host].judge(self.now, false);
+        }
         self.learn(&sent, o, &get, key, sending);
         let ds = &self.r.services[get.ds];
         if answered {
@@ -588,7 +587,7 @@
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
             End::Full if cold => h.judge(now, false),
-            End::Errored | End::NoConnection | End::Reset => h.judge(now, false),
+            End::NoConnection | End::Reset => h.judge(now, false),
             End::TimedOut | End::Withdrawn if now >= sent.overdue && h.last_answer < sent.at => {
                 h.judge(now, false)
             }
@@ -610,7 +609,8 @@
             let pace = sending / (spent - wait).max(1e-3);
             r.link.learn(r.site.neighbours, pace, if r.site.notes { CROWDED } else { JAMMED });
         }
-        let failed = sent.fill && !matches!(o.end, End::Returned | End::Miss);
+        let errored = o.end == End::Errored && !source_failed;
+        let failed = sent.fill && !errored && !matches!(o.end, End::Returned | End::Miss);
         let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
         let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
         if filled && returned || unfinished {
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     pub tried: [Option<HostIndex>; 2],
     /// The first forward that may have run, and when it was sent.
     pub may_have_run: Option<(HostIndex, Duration)>,
+    /// Answered errored for no reason of its source's; held against it only if another host returns this GET.
+    pub doubted: Option<HostIndex>,
     pub source_lacks: bool,
     pub answered: bool,
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -6,6 +6,7 @@
 use common::{record, request};
 use myrtlegauge_dispatcher::protocol::{Fault, changelog, fastcgi, resp};
 use std::fmt::Debug;
+use std::time::Duration;
 
 /// What comes of a stream that arrives in two parts, split anywhere, is what comes of it whole.
 fn same_at_every_split<M: Debug, P>(
@@ -43,7 +44,7 @@
     let (half_one, half_two) = (one.len() - 28, two.len() - 11);
     let stream = [&one[..half_one], &two[..half_two], &third, &one[half_one..], &two[half_two..]].concat();
     let read = same_at_every_split(&stream, fastcgi::Reader::default, |reader, inbound| {
-        reader.next::<()>(inbound, &[])
+        reader.next::<()>(inbound, &[], Duration::ZERO)
     });
     insta::assert_snapshot!(read);
 }
@@ -91,8 +92,10 @@
         ("values", record(9, 0, b"\x09")),
     ] {
         let mut inbound = BytesMut::from(&bytes[..]);
-        faults +=
-            &format!("{what}: {:?}\n", fastcgi::Reader::default().next::<()>(&mut inbound, &[]).unwrap_err());
+        faults += &format!(
+            "{what}: {:?}\n",
+            fastcgi::Reader::default().next::<()>(&mut inbound, &[], Duration::ZERO).unwrap_err()
+        );
     }
     insta::assert_snapshot!(faults);
 }
@@ -121,7 +124,7 @@
         let mut reader = fastcgi::Reader::default();
         let fed = || BytesMut::from(&bytes[..]);
         let (mut a, mut b, mut c) = (fed(), fed(), fed());
-        while let Ok(Some(_)) = reader.next(&mut a, &[(1, ())]) {}
+        while let Ok(Some(_)) = reader.next(&mut a, &[(1, ())], Duration::ZERO) {}
         while let Ok(Some(_)) = resp::next(&mut b) {}
         while let Ok(Some(_)) = changelog::next(&mut c) {}
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -35,7 +35,8 @@
 fn a_write_carries_its_body_and_is_never_sent_twice_unless_proven_not_run() {
     let mut rig = Rig::new();
     let params = [("SCRIPT_NAME", "/rpc/confirm"), ("HTTP_REQUEST_ID", "00000000000000a1")];
-    let params = [&params[..], &[("HTTP_BUDGET_MS", "3000"), ("HTTP_RESOURCE_KEY", "01")]].concat();
+    let params =
+        [&params[..], &[("HTTP_BUDGET_MS", "3000"), ("HTTP_RESOURCE_KEY", "0000000000000001")]].concat();
     rig.write(0, &request(1, &params, b"signed for"));
     rig.until(1);
     rig.say("the connection ends after it was read: it may have run");
@@ -50,6 +51,7 @@
     rig.until(1);
     rig.say("the connection is refused: it never ran");
     rig.close("origin-5", true);
+    let params = [&params[..1], &[("HTTP_REQUEST_ID", "00000000000000a3")], &params[2..]].concat();
     rig.write(0, &request(3, &params, b"signed for"));
     rig.until(1);
     assert_snapshot!(rig.trace);
