Spoilt answers end their connection without blame and are sent again where they were

At fault: end_link told Reset for each forward out; a connection was retired only if nothing at all was heard (give_up), so a part kept a dead one in use until each GET ran out of time; any 200 passed, with or without its tag and time; learn() cut the source's bound for what was not the source's doing.

Now: a new end, spoilt: may have run, tells nothing of host or source, and is sent again to the same cache, which holds the object. One loss of a connection is told of its host once. A part older than 250 ms with nothing left to read ends the connection. Lengths are bounded for each element, an id is 16 digits.

Ruled out: no connection was silent without a part.

--- a/crates/dispatcher/src/protocol/resp.rs
+++ b/crates/dispatcher/src/protocol/resp.rs
@@ -5,8 +5,10 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use std::fmt::Write;
 
-/// Bytes of one element; the protocol page allows objects of 240,000.
-const ELEMENT_MOST: usize = 256 * 1024;
+/// Bytes of an answer's id, word, fields and body; the protocol page allows objects of 240,000.
+const ELEMENT_MOST: [usize; ELEMENTS] = [ID_LONG, 16, 4096, 256 * 1024];
+/// Digits of an id.
+const ID_LONG: usize = 16;
 /// Bytes of one length line.
 const LINE_MOST: usize = 16;
 const ELEMENTS: usize = 4;
@@ -52,9 +54,9 @@
         return Err(Fault("a RESP answer of another number of elements"));
     }
     let mut spans = [(0, 0); ELEMENTS];
-    for span in &mut spans {
+    for (span, most) in spans.iter_mut().zip(ELEMENT_MOST) {
         let Some((long, from)) = length(inbound, at, b'$')? else { return Ok(None) };
-        if long > ELEMENT_MOST {
+        if long > most {
             return Err(Fault("a RESP element over the bound"));
         }
         at = from + long + 2;
@@ -69,6 +71,9 @@
     }
     let whole = inbound.split_to(at).freeze();
     let [id, word, fields, body] = spans.map(|(from, to)| whole.slice(from..to));
+    if id.len() != ID_LONG || !id.iter().all(u8::is_ascii_hexdigit) {
+        return Err(Fault("a RESP answer under no id"));
+    }
     Ok(Some(Answer { id, word, fields, body }))
 }
 
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -30,6 +30,8 @@
     pub links_failed: u64,
     pub links_broken: u64,
     pub links_idle: u64,
+    /// Connections left because a part of an answer stayed one.
+    pub links_stuck: u64,
     pub changes: u64,
     pub purges: u64,
     pub polls_failed: u64,
@@ -45,8 +47,18 @@
     pub round_longest_us: u64,
 }
 
-const END_NAMES: [&str; 9] =
-    ["returned", "miss", "errored", "full", "timed-out", "no-connection", "reset", "withdrawn", "never-sent"];
+const END_NAMES: [&str; 10] = [
+    "returned",
+    "miss",
+    "errored",
+    "full",
+    "timed-out",
+    "no-connection",
+    "reset",
+    "withdrawn",
+    "never-sent",
+    "spoilt",
+];
 const NOTE_NAMES: [&str; 11] = [
     "untold",
     "hit",
@@ -107,7 +119,7 @@
         }
         write!(
             f,
-            "\nconnections: clients {} mute {}; hosts {} failed {} broken {} idle {}\n\
+            "\nconnections: clients {} mute {}; hosts {} failed {} broken {} idle {} stuck {}\n\
              change log: changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
              faults: unreadable {} strays {} broken {}\n\
              rounds: {} longest {} us",
@@ -117,6 +129,7 @@
             self.links_failed,
             self.links_broken,
             self.links_idle,
+            self.links_stuck,
             self.changes,
             self.purges,
             self.polls_failed,
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -21,7 +21,7 @@
 /// A buffer that all connections read by way of.
 const SHARED: usize = 64 * 1024;
 /// How often connections are looked over.
-pub const TIDY_EVERY: Duration = Duration::from_millis(250);
+pub const TIDY_EVERY: Duration = Duration::from_millis(100);
 /// Part of a host's idle time after which a connection is closed here, so that nothing is written to one that the
 /// host is closing.
 const IDLE_PART: f64 = 0.8;
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -10,6 +10,8 @@
 
 pub struct Door {
     pub services: Vec<Bytes>,
+    /// Whether a service's GETs are answered by copies; those that are passed on are not.
+    copies: Vec<bool>,
     zones: Vec<String>,
     kinds: Vec<String>,
     indices: HashMap<String, HostIndex>,
@@ -28,8 +30,12 @@
             let name = v.get("name").and_then(|name| name.as_str());
             name.map(|name| Bytes::copy_from_slice(name.as_bytes())).ok_or("a delivery service has no name")
         };
+        let services = list("classes")?.iter().map(service).collect::<Result<Vec<_>, _>>()?;
+        let passed_on = told.get("domain").and_then(|domain| domain.get("pass_on"));
+        let passed_on = |ds: usize| passed_on.and_then(|list| list.get(ds)?.as_bool()).unwrap_or(false);
         Ok(Self {
-            services: list("classes")?.iter().map(service).collect::<Result<_, _>>()?,
+            copies: (0..services.len()).map(|ds| !passed_on(ds)).collect(),
+            services,
             zones: names("zones")?,
             kinds: names("kinds")?,
             indices: HashMap::new(),
@@ -58,6 +64,24 @@
         })
     }
 
+    /// How an answer ends a forward; none for a word that is not known, or without the fields of a copy where the
+    /// answer must be one.
+    pub fn end(&self, ds: usize, answer: &Answer) -> Option<End> {
+        let copy = || {
+            let tag = answer.field("rev").is_some_and(|tag| !tag.is_empty() && is_token(tag));
+            tag && answer.field("since").and_then(number).is_some()
+        };
+        Some(match &answer.word[..] {
+            b"200" if !self.copies[ds] || copy() => End::Returned,
+            b"304" if self.copies[ds] && copy() => End::Returned,
+            b"404" => End::Miss,
+            b"503" => End::Full,
+            b"500" => End::Errored,
+            b"504" => End::NeverSent,
+            _ => return None,
+        })
+    }
+
     /// An index for a host's name, the same as long as the program runs; and whether it is new.
     pub fn host(&mut self, name: &str) -> (HostIndex, bool) {
         if let Some(&known) = self.indices.get(name) {
@@ -134,18 +158,6 @@
     std::str::from_utf8(bytes).ok()?.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-/// How an answer ends a forward; none for a word that is not known.
-pub fn end(word: &[u8]) -> Option<End> {
-    Some(match word {
-        b"200" | b"304" => End::Returned,
-        b"404" => End::Miss,
-        b"503" => End::Full,
-        b"500" => End::Errored,
-        b"504" => End::NeverSent,
-        _ => return None,
-    })
-}
-
 pub fn note(answer: &Answer) -> Note {
     match answer.field("why").unwrap_or_default() {
         b"TCP_HIT" => Note::Hit,
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -175,14 +175,22 @@
         self.end_link(key, End::NoConnection);
     }
 
-    /// Ends a connection and what is out on it. A forward whose last byte never left is proven not run.
+    /// Ends a connection and what is out on it. A forward whose last byte never left is proven not run. One loss
+    /// is told of the host once, by its first forward: the others only went down with it.
     pub fn end_link(&mut self, key: Key, end: End) {
         let flushed = self.links[key].connection.flushed();
+        let mut told = end == End::Spoilt;
         for place in std::mem::take(&mut self.links[key].out) {
             let Some(out) = self.hands.at(place).out.as_mut() else { continue };
             out.link = None;
             let left = out.ends_at.is_some_and(|ends| ends <= flushed);
-            self.ended.push_back((place, out.serial, if left { end } else { End::NoConnection }));
+            let end = match (left, std::mem::replace(&mut told, true)) {
+                (true, false) => end,
+                (true, true) => End::Spoilt,
+                (false, false) => End::NoConnection,
+                (false, true) => End::NeverSent,
+            };
+            self.ended.push_back((place, out.serial, end));
         }
         self.drop_link(key);
     }
@@ -241,18 +249,18 @@
             let answer = match link.connection.parse(resp::next) {
                 Ok(Some(answer)) => answer,
                 Ok(None) => {
-                    if link.connection.unread() > 0 {
-                        link.part_since.get_or_insert(self.now);
-                    }
+                    let part = link.connection.unread() > 0;
                     if link.ended {
                         self.counters.links_broken += 1;
-                        self.end_link(key, End::Reset);
+                        self.end_link(key, if part { End::Spoilt } else { End::Reset });
+                    } else if part && link.part_since.is_none() {
+                        link.part_since = Some(self.now);
                     }
                     return None;
                 }
                 Err(Fault(what)) => {
                     self.fault(format_args!("a host's connection is closed: {what}"));
-                    self.end_link(key, End::Reset);
+                    self.end_link(key, End::Spoilt);
                     return None;
                 }
             };
@@ -267,9 +275,10 @@
             };
             let place = link.out.swap_remove(at);
             link.used_at = self.now;
-            let end = door::end(&answer.word).unwrap_or_else(|| {
-                self.fault(format_args!("a host answers {}", answer.word.escape_ascii()));
-                End::Errored
+            let ds = self.hands.at(place).get.ds;
+            let end = self.door.end(ds, &answer).unwrap_or_else(|| {
+                self.fault(format_args!("a host answers {} and no more", answer.word.escape_ascii()));
+                End::Spoilt
             });
             if let Some(outcome) = self.answered(place, end, answer) {
                 return Some((place, outcome));
@@ -288,7 +297,7 @@
         if end == End::Returned && self.hands.at(place).owed.is_some() {
             match self.returned(place, &answer.word, answer.body) {
                 Some(answer) => _ = self.pay(place, &answer),
-                None => end = End::Errored,
+                None => end = End::Spoilt,
             }
         }
         Some(self.outcome(place, &out?, end, told))
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -5,10 +5,13 @@
 use super::hosts::Link;
 use super::{Dispatcher, Key, Who};
 use crate::transport::{Connection, Reading};
+use myrtlegauge::interface::End;
 use std::time::Duration;
 
 /// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1500);
+/// Time in which an answer that has begun becomes whole; hosts write theirs in one go.
+const PART_MOST: Duration = Duration::from_millis(250);
 
 impl Desk {
     /// Reads what came on all that stirred, as far as buffers allow.
@@ -68,6 +71,10 @@
         if link.connection.unread() > before {
             link.heard_at = *now;
         }
+        if again {
+            // What is here and not read keeps nobody waiting but this side.
+            link.part_since = link.part_since.map(|_| *now);
+        }
         self.heard_links.push_back(key);
         again
     }
@@ -155,6 +162,7 @@
             self.counters.links_idle += 1;
             self.drop_link(key);
         }
+        self.end_stuck_links();
         self.tidy_clients();
         for (key, client) in self.clients.iter_mut() {
             let flushed = client.connection.flushed();
@@ -168,6 +176,17 @@
         }
     }
 
+    /// A part of an answer that stays one holds up all behind it: the connection is of no further use. It hurts
+    /// where a host takes longer than this between two writes of one answer.
+    fn end_stuck_links(&mut self) {
+        let stuck = |link: &Link| link.part_since.is_some_and(|since| self.now >= since + PART_MOST);
+        let stuck: Vec<Key> = self.links.iter().filter(|(_, link)| stuck(link)).map(|(key, _)| key).collect();
+        for key in stuck {
+            self.counters.links_stuck += 1;
+            self.end_link(key, End::Spoilt);
+        }
+    }
+
     /// Refuses requests that are begun and do not become whole, and closes connections that say nothing whole. It
     /// hurts a client that takes longer to write a request than this, which on a clear network none does; while
     /// buffers are full nothing is read here, and nobody is blamed.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -552,9 +552,9 @@
         }
         g.answered |= o.closed;
         g.source_lacks |= o.end == End::Miss;
-        g.tried = [sent.to.host, sent.to.source].map(|tried| Some(tried).filter(|_| o.end != End::Miss));
-        let (answered, get, key, run) = (g.answered, g.get, g.key, g.may_have_run.is_some());
-        let (sending, doubted) = (g.sending, g.doubted);
+        let none_failed = matches!(o.end, End::Miss | End::Spoilt);
+        g.tried = [sent.to.host, sent.to.source].map(|tried| Some(tried).filter(|_| !none_failed));
+        let InHand { get, key, sending, doubted, answered, may_have_run, .. } = *g;
         // Two hosts that err tell of the GET, one that errs where another returns, of the host: guards against
         // hosts that err, not those that were asked what nobody can answer. It hurts by a second forward.
         g.doubted = if o.end == End::Errored { doubted.xor(Some(sent.to.host)) } else { doubted };
@@ -565,7 +565,7 @@
         let ds = &self.r.services[get.ds];
         if answered {
             self.free(place);
-        } else if ds.idempotent || ds.tokened || !run {
+        } else if ds.idempotent || ds.tokened || may_have_run.is_none() {
             self.decide(place);
         } else {
             self.give_up(place);
@@ -609,8 +609,8 @@
             let pace = sending / (spent - wait).max(1e-3);
             r.link.learn(r.site.neighbours, pace, if r.site.notes { CROWDED } else { JAMMED });
         }
-        let errored = o.end == End::Errored && !source_failed;
-        let failed = sent.fill && !errored && !matches!(o.end, End::Returned | End::Miss);
+        let untold = o.end == End::Spoilt || o.end == End::Errored && !source_failed;
+        let failed = sent.fill && !untold && !matches!(o.end, End::Returned | End::Miss);
         let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
         let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
         if filled && returned || unfinished {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -33,6 +33,9 @@
     Reset,
     Withdrawn,
     NeverSent,
+    /// What came can't be used, or its connection went down by another's trouble: it may have run, and nothing is
+    /// told of the host, which lives.
+    Spoilt,
 }
 
 /// What the answer says of the copy or of the fill.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -285,6 +285,9 @@
     /// An answer to the GET of a number by the host that read last.
     pub fn answer(&mut self, number: u16, word: &str, fields: &str, body: &str) {
         let id = format!("{number:016x}");
+        let copy = matches!(word, "200" | "304") && !fields.contains("rev=");
+        let fields =
+            &format!("{fields}{}", if copy { ",rev=4be0c1927d55a6f3,since=1764576000123" } else { "" });
         let told: String =
             [&id, word, fields, body].map(|part| format!("${}\r\n{part}\r\n", part.len())).concat();
         self.raw(format!("*4\r\n{told}").as_bytes());
@@ -429,9 +432,10 @@
     let mut lines = text.split("\r\n");
     let n: usize = lines.next()?.strip_prefix('*')?.parse().ok()?;
     let words: Vec<String> = (0..n).map_while(|_| lines.nth(1).map(str::to_owned)).collect();
-    let whole = words.len() == n && lines.next().is_some();
+    let rest: Vec<_> = lines.collect();
+    let whole = words.len() == n && !rest.is_empty();
     whole.then(|| {
-        inbound.drain(..text.len() - lines.collect::<Vec<_>>().join("\r\n").len());
+        inbound.drain(..text.len() - rest.join("\r\n").len());
         words
     })
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -86,7 +86,8 @@
 fn a_write_goes_on_or_is_shed_only_if_proven_not_run() {
     let mut day = Day::new(settings());
     let ends = [End::Full, End::NoConnection, End::NeverSent, End::Miss];
-    for end in ends.into_iter().chain([End::Errored, End::TimedOut, End::Reset, End::Withdrawn]) {
+    for end in ends.into_iter().chain([End::Errored, End::TimedOut, End::Reset, End::Withdrawn, End::Spoilt])
+    {
         day.trace.say(&format!("{end:?}"));
         let get = day.take(2, 1);
         day.end(get, 0, end, Note::Untold, 20);
@@ -96,6 +97,28 @@
     assert_snapshot!(day.trace.lines);
 }
 
+#[test]
+fn a_spoilt_answer_is_asked_for_again_where_it_was_and_an_error_is_held_against_its_host_alone() {
+    let mut day = Day::new(settings());
+    for _ in 0..5 {
+        let get = day.take(0, 1);
+        day.end(get, 0, End::Spoilt, Note::Untold, 20);
+        day.end(get, 1, End::Returned, Note::Hit, 100);
+    }
+    day.trace.say("nobody knows what these ask for");
+    for _ in 0..5 {
+        let get = day.take(0, 1);
+        (0..3).for_each(|hop| day.end(get, hop, End::Errored, Note::Untold, 20));
+    }
+    day.trace.say("another returns what the first errs on: the first is left out");
+    for _ in 0..4 {
+        let get = day.take(0, 1);
+        day.end(get, 0, End::Errored, Note::Untold, 20);
+        day.end(get, 1, End::Returned, Note::Hit, 100);
+    }
+    assert_snapshot!(day.trace.lines);
+}
+
 #[test]
 fn a_tokened_get_that_may_have_run_stays_in_its_group_and_window() {
     let mut day = Day::new(settings());
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -52,7 +52,7 @@
 #[test]
 fn resp_answers_split_anywhere() {
     let stream = b"*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\n200\r\n$22\r\nwhy=TCP_HIT,rev=ab,x=1\r\n$8\r\na\r\n$2\r\n\0\r\n\
-        *4\r\n$1\r\n2\r\n$3\r\n404\r\n$1\r\n-\r\n$0\r\n\r\n";
+        *4\r\n$16\r\n0000000000000002\r\n$3\r\n404\r\n$1\r\n-\r\n$0\r\n\r\n";
     insta::assert_snapshot!(same_at_every_split(stream, || (), |(), inbound| resp::next(inbound)));
 }
 
@@ -71,6 +71,8 @@
         "*4\r\n+OK\r\n",
         "*4\r\n$300000\r\n",
         "*4\r\n$1\r\nab\r\n",
+        "*4\r\n$1\r\na\r\n$3\r\n404\r\n$1\r\n-\r\n$0\r\n\r\n",
+        "*4\r\n$16\r\n0000000000000001\r\n$99\r\n",
         "*4444444444444444",
         "*-1\r\n",
         "*4\r\n$+1\r\n",
@@ -104,8 +106,10 @@
 fn noise_is_never_more_than_a_fault() {
     let mut chance = fastrand::Rng::with_seed(11);
     let params = [("SCRIPT_NAME", "/rpc/video"), ("HTTP_REQUEST_ID", "9b1f03aa5c7e2d41")];
-    let good =
-        [request(1, &params, b"a body"), b"*4\r\n$1\r\n1\r\n$3\r\n200\r\n$1\r\n-\r\n$1\r\nx\r\n".to_vec()];
+    let good = [
+        request(1, &params, b"a body"),
+        b"*4\r\n$16\r\n0000000000000001\r\n$3\r\n200\r\n$1\r\n-\r\n$1\r\nx\r\n".to_vec(),
+    ];
     let http = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"seq\r\n0\r\n\r\n".to_vec();
     for round in 0..30_000 {
         let mut bytes: Vec<u8> = match round % 4 {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -179,6 +179,75 @@
     assert_snapshot!(rig.trace);
 }
 
+#[test]
+fn what_a_spoilt_answer_takes_down_is_sent_again_on_a_new_connection() {
+    let mut rig = Rig::new();
+    rig.say("three forwards on one connection; a part of an answer stays one: all are sent again");
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    let first = rig.last.clone();
+    for round in 0..3 {
+        let [a, b] = [2 + 4 * round, 3 + 4 * round];
+        rig.get(a, "video", &[]);
+        rig.get(b, "video", &[]);
+        rig.until(2);
+        rig.last.clone_from(&first);
+        rig.raw(b"*4\r\n$16\r\n0000");
+        rig.until(2 + usize::from(round == 0));
+        for number in [a, b] {
+            rig.answer(number, "200", "why=TCP_HIT", "whole");
+        }
+        rig.until(2);
+    }
+    rig.say("without its fields, under an unknown id, twice: the first is asked for again, the last is owed");
+    rig.get(20, "video", &[]);
+    rig.until(1);
+    assert_eq!(rig.last, first, "nobody was blamed");
+    rig.answer(20, "200", "why=TCP_HIT,rev=", "spoilt");
+    rig.until(1);
+    rig.answer(99, "200", "why=TCP_HIT", "nobody's");
+    rig.answer(20, "200", "why=TCP_HIT", "owed");
+    rig.answer(20, "200", "why=TCP_HIT", "owed again");
+    rig.until(1);
+    assert_snapshot!(rig.trace);
+}
+
+#[test]
+fn a_client_that_says_nothing_whole_is_answered_or_closed_in_time() {
+    let mut rig = Rig::with(settings(), Room { descriptors: 8, memory: 192 << 20 });
+    let params = [("SCRIPT_NAME", "/rpc/video"), ("HTTP_REQUEST_ID", "0000000000000001")];
+    rig.say("the id of a GET in hand, for another object");
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    rig.get(
+        2,
+        "video",
+        &[("HTTP_REQUEST_ID", "0000000000000001"), ("HTTP_RESOURCE_KEY", "00000000000000ff")],
+    );
+    rig.until(1);
+    rig.answer(1, "200", "why=TCP_HIT", "the bytes");
+    rig.until(1);
+    rig.say("a body over the bound is refused before it ends");
+    let long = rig.client();
+    let begun = request(1, &params, b"");
+    rig.write(long, &begun[..begun.len() - 11]);
+    for _ in 0..3 {
+        rig.write(long, &record(5, 1, &[b'x'; 30_000]));
+    }
+    rig.until(2);
+    rig.say("mute, begun and not whole, a record that does not end");
+    for bytes in [&[][..], &begun[..begun.len() - 11], &begun[..50]] {
+        let client = rig.client();
+        rig.write(client, bytes);
+    }
+    rig.settle(200);
+    rig.say("over the bound of four a mute one makes room");
+    rig.client();
+    rig.until(1);
+    rig.until(4);
+    assert_snapshot!(rig.trace);
+}
+
 #[test]
 fn the_change_log_is_followed_without_a_gap_or_a_repeat() {
     let mut rig = Rig::new();
