Up to four connections to a host, so that a spoilt one takes down less

Seen: with bad peers some ten forwards went down with each spoilt answer (231 for 23 faults at the busiest dispatcher, by its counters); all of a host's GETs shared one connection (link_to opened another only at 100 streams). Now one more is opened for later while all are in use, up to four where descriptors allow; the emptiest is taken.

The tests' stand-ins answer on the connection that read, and read two commands of one write.

--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -14,6 +14,9 @@
 use std::io::{self, ErrorKind, Write};
 use std::time::Duration;
 
+/// Connections to one host, where descriptors allow.
+const LINKS_EACH: usize = 4;
+
 impl Dispatch for Desk {
     fn forward(&mut self, place: Place, f: &Forward) {
         let (now, most) = (self.now, self.manners.forwards);
@@ -82,13 +85,21 @@
 
 impl Desk {
     /// The connection that takes a forward to a host: the emptiest that is up, else one that is coming up, else a
-    /// new one.
+    /// new one. Where all are in use one more is opened for later, up to a few: one that is spoilt or reset takes
+    /// down what is out on it. It hurts a host that many dispatchers connect to, by a connection each.
     fn link_to(&mut self, host: HostIndex) -> Result<Key, End> {
-        let (links, streams) = (&self.links, self.manners.streams);
-        let open = self.hosts[host].links.iter().copied().filter(|&key| links[key].takes(streams));
-        if let Some(key) = open.min_by_key(|&key| (!links[key].up, links[key].out.len())) {
-            return Ok(key);
+        let (links, streams, own) = (&self.links, self.manners.streams, &self.hosts[host].links);
+        let open = own.iter().copied().filter(|&key| links[key].takes(streams));
+        let first = open.min_by_key(|&key| (!links[key].up, links[key].out.len()));
+        let Some(key) = first else { return self.open_link(host) };
+        let few = own.len() < LINKS_EACH.min(self.most_links / self.hosts.len());
+        if few && !links[key].out.is_empty() && own.iter().all(|&key| links[key].up) {
+            let _ = self.open_link(host);
         }
+        Ok(key)
+    }
+
+    fn open_link(&mut self, host: HostIndex) -> Result<Key, End> {
         if !self.has_room_for_link() {
             return Err(End::NeverSent);
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -196,6 +196,9 @@
     socket: TcpStream,
     inbound: Vec<u8>,
     outbound: Vec<u8>,
+    /// Ids that it read, and when it last did.
+    ids: Vec<String>,
+    read_at: Option<Instant>,
 }
 
 struct Client {
@@ -290,12 +293,16 @@
             &format!("{fields}{}", if copy { ",rev=4be0c1927d55a6f3,since=1764576000123" } else { "" });
         let told: String =
             [&id, word, fields, body].map(|part| format!("${}\r\n{part}\r\n", part.len())).concat();
-        self.raw(format!("*4\r\n{told}").as_bytes());
+        let last = self.last.clone();
+        let streams = &mut self.host(&last).streams;
+        let at = streams.iter().rposition(|stream| stream.ids.contains(&id)).unwrap_or(streams.len() - 1);
+        streams[at].outbound.extend_from_slice(format!("*4\r\n{told}").as_bytes());
     }
 
     pub fn raw(&mut self, bytes: &[u8]) {
         let last = self.last.clone();
-        self.host(&last).streams.last_mut().unwrap().outbound.extend_from_slice(bytes);
+        let stream = self.host(&last).streams.iter_mut().max_by_key(|stream| stream.read_at);
+        stream.unwrap().outbound.extend_from_slice(bytes);
     }
 
     /// Closes all that a host has open; a dead one refuses from then on.
@@ -392,14 +399,17 @@
         for host in hosts.iter_mut().chain([changelog]) {
             while let Some(Ok((stream, _))) = host.listener.as_ref().map(TcpListener::accept) {
                 stream.set_nonblocking(true).unwrap();
-                host.streams.push(Stream { socket: stream, inbound: Vec::new(), outbound: Vec::new() });
+                let (inbound, outbound, ids) = (Vec::new(), Vec::new(), Vec::new());
+                host.streams.push(Stream { socket: stream, inbound, outbound, ids, read_at: None });
             }
-            for Stream { socket, inbound, outbound } in &mut host.streams {
+            for Stream { socket, inbound, outbound, ids, read_at } in &mut host.streams {
                 let _ = socket.read_to_end(inbound);
                 let sent = socket.write(outbound).unwrap_or(0);
                 outbound.drain(..sent);
                 while let Some(words) = command(inbound) {
                     last.clone_from(&host.name);
+                    ids.extend(words.get(1).cloned());
+                    *read_at = Some(Instant::now());
                     writeln!(trace, "{} reads {}", host.name, masked(&words.join(" "))).unwrap();
                 }
             }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -180,34 +180,33 @@
 }
 
 #[test]
-fn what_a_spoilt_answer_takes_down_is_sent_again_on_a_new_connection() {
+fn a_spoilt_answer_takes_down_its_connection_alone_and_what_was_there_is_sent_again() {
     let mut rig = Rig::new();
-    rig.say("three forwards on one connection; a part of an answer stays one: all are sent again");
-    rig.get(1, "video", &[]);
-    rig.until(1);
-    let first = rig.last.clone();
-    for round in 0..3 {
-        let [a, b] = [2 + 4 * round, 3 + 4 * round];
-        rig.get(a, "video", &[]);
-        rig.get(b, "video", &[]);
-        rig.until(2);
-        rig.last.clone_from(&first);
-        rig.raw(b"*4\r\n$16\r\n0000");
-        rig.until(2 + usize::from(round == 0));
-        for number in [a, b] {
-            rig.answer(number, "200", "why=TCP_HIT", "whole");
-        }
-        rig.until(2);
+    for number in 1..=6 {
+        rig.get(number, "video", &[]);
+        rig.until(1);
     }
-    rig.say("without its fields, under an unknown id, twice: the first is asked for again, the last is owed");
-    rig.get(20, "video", &[]);
+    let first = rig.last.clone();
+    rig.say("four connections have the six; a part of an answer stays one");
+    rig.raw(b"*4\r\n$16\r\n0000");
+    rig.until(2);
+    rig.say("noise, under no id");
+    rig.raw(b"*4\r\n$3\r\n1,2\r\n$3\r\n200\r\n$1\r\n-\r\n$0\r\n\r\n");
+    rig.until(2);
+    rig.say("a copy without its tag; under an id that nobody waits for; owed; a second copy");
+    rig.answer(1, "200", "why=TCP_HIT,rev=", "spoilt");
+    rig.until(1);
+    rig.answer(99, "200", "why=TCP_HIT", "nobody's");
+    rig.answer(1, "200", "why=TCP_HIT", "owed");
+    rig.answer(1, "200", "why=TCP_HIT", "owed again");
+    rig.until(1);
+    rig.get(9, "video", &[]);
     rig.until(1);
     assert_eq!(rig.last, first, "nobody was blamed");
-    rig.answer(20, "200", "why=TCP_HIT,rev=", "spoilt");
+    rig.say("a write whose answer can't be read may have run");
+    rig.get(10, "confirm", &[]);
     rig.until(1);
-    rig.answer(99, "200", "why=TCP_HIT", "nobody's");
-    rig.answer(20, "200", "why=TCP_HIT", "owed");
-    rig.answer(20, "200", "why=TCP_HIT", "owed again");
+    rig.raw(b"?");
     rig.until(1);
     assert_snapshot!(rig.trace);
 }
