A host gone for longer than any GET lasts gives its index to the next

Seen: hosts and names were kept for good (Door::host, Desk::hosts) and each line of the list walked them all; the module kept its record for a host's index whoever came to bear it. Now a host gone for the longest wait of any client and a second, with no connection left, gives back index and name; the module begins a record anew where the mark at an index changes; whom a whole list leaves out is gone for the desk too; no client's wait is taken for longer than the settings tell.

--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -73,7 +73,7 @@
         let client = self.clients.get_mut(key)?;
         client.last |= !keep_conn;
         client.asked = true;
-        let Some(get) = get else {
+        let Some(mut get) = get else {
             let answer = if health { Answer::Healthy(ready) } else { Answer::Unusable };
             self.counters.health += u64::from(health);
             self.counters.unusable += u64::from(!health);
@@ -84,6 +84,8 @@
             self.write_answer(key, number, &answer);
             return None;
         };
+        // No client waits longer than the settings tell.
+        get.viewer_timeout = get.viewer_timeout.min(self.manners.longest);
         self.counters.taken += 1;
         self.clients.get_mut(key)?.open.push((number, place));
         let until = self.now + get.viewer_timeout;
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -32,6 +32,7 @@
     pub links_idle: u64,
     /// Connections left because a part of an answer stayed one.
     pub links_stuck: u64,
+    pub hosts_forgotten: u64,
     pub changes: u64,
     pub purges: u64,
     pub polls_failed: u64,
@@ -120,7 +121,7 @@
         write!(
             f,
             "\nconnections: clients {} mute {}; hosts {} failed {} broken {} idle {} stuck {}\n\
-             change log: changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
+             change log: hosts forgotten {} changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
              faults: unreadable {} strays {} broken {}\n\
              rounds: {} longest {} us",
             self.clients,
@@ -130,6 +131,7 @@
             self.links_broken,
             self.links_idle,
             self.links_stuck,
+            self.hosts_forgotten,
             self.changes,
             self.purges,
             self.polls_failed,
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -3,7 +3,7 @@
 use super::clients::Client;
 use super::clock::Clock;
 use super::counters::Counters;
-use super::door::Door;
+use super::door::{self, Door};
 use super::feed::Feed;
 use super::hands::Hands;
 use super::hosts::{Host, Link};
@@ -11,7 +11,7 @@
 use super::{Dispatcher, Key, Who};
 use crate::transport::{Accounts, Hub, Listener};
 use bytes::BytesMut;
-use myrtlegauge::interface::{End, Get, Place, Values, span};
+use myrtlegauge::interface::{End, Get, HostIndex, Place, Values, span};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fmt::Arguments;
@@ -118,7 +118,7 @@
             connect: time("connect_timeout_ms"),
             cancel: limits.and_then(|l| l.get("cancel")).and_then(|v| v.as_bool()).unwrap_or(false),
             forwards: number("max_attempts").map_or(u32::MAX, |n| n as u32),
-            longest: span(longest),
+            longest: span(if longest > 0.0 { longest } else { door::BUDGET_MOST }),
         }
     }
 }
@@ -237,6 +237,11 @@
         wakes
     }
 
+    /// Forwards on the connections of a host.
+    pub fn out_at(&self, host: HostIndex) -> usize {
+        self.hosts[host].links.iter().map(|&key| self.links[key].out.len()).sum()
+    }
+
     pub fn is_ready(&self) -> bool {
         self.listed && self.stops_at.is_none()
     }
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -15,6 +15,8 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     indices: HashMap<String, HostIndex>,
+    /// Indices given back.
+    free: Vec<HostIndex>,
 }
 
 impl Door {
@@ -39,6 +41,7 @@
             zones: names("zones")?,
             kinds: names("kinds")?,
             indices: HashMap::new(),
+            free: Vec::new(),
         })
     }
 
@@ -82,16 +85,22 @@
         })
     }
 
-    /// An index for a host's name, the same as long as the program runs; and whether it is new.
+    /// An index for a host's name, the same until it is given back; and whether it is new.
     pub fn host(&mut self, name: &str) -> (HostIndex, bool) {
         if let Some(&known) = self.indices.get(name) {
             return (known, false);
         }
-        let index = self.indices.len();
+        let index = self.free.pop().unwrap_or(self.indices.len());
         self.indices.insert(name.to_owned(), index);
         (index, true)
     }
 
+    /// Gives the index of a host back.
+    pub fn forget(&mut self, name: &[u8]) {
+        let index = std::str::from_utf8(name).ok().and_then(|name| self.indices.remove(name));
+        self.free.extend(index);
+    }
+
     /// A line of the list, with what is wrong with it. What it leaves out is as it was known; a host that can't be
     /// placed is taken as gone.
     pub fn entry(&self, known: &Entry, told: &Endpoint<'_>, clock: &Clock) -> (Entry, Option<&'static str>) {
@@ -130,7 +139,7 @@
 /// Groups of objects are numbered up to here.
 const GROUP_MOST: u64 = 255;
 /// ms; no client waits longer than an hour.
-const BUDGET_MOST: f64 = 3.6e6;
+pub const BUDGET_MOST: f64 = 3.6e6;
 
 pub fn hex(bytes: &[u8]) -> Option<u64> {
     let fits = (1..=KEY_LONG).contains(&bytes.len()) && bytes.iter().all(u8::is_ascii_hexdigit);
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -12,6 +12,8 @@
     /// As the list told it last.
     pub entry: Entry,
     pub address: Option<SocketAddr>,
+    /// Since when it is gone; nothing is sent there any more.
+    pub gone_at: Option<Duration>,
     pub links: Vec<Key>,
 }
 
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -125,7 +125,13 @@
             counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
             desk.now = desk.clock.now();
         }
-        desk.tidy();
+        if desk.tidy() {
+            // What the module believes to be out at a host is what stands on its connections.
+            for host in 0..desk.hosts.len() {
+                let holds = router.out_at(host) == desk.out_at(host) as f64;
+                desk.counters.must(holds, "forwards out at a host are those on its connections");
+            }
+        }
         desk.count_holds();
     }
 
@@ -157,6 +163,11 @@
         self.desk.accounts.buffered.level()
     }
 
+    /// Places of hosts, those that can be taken by a new one included.
+    pub fn hosts(&self) -> usize {
+        self.desk.hosts.len()
+    }
+
     pub fn report(&self) {
         self.desk.report();
     }
@@ -180,7 +191,7 @@
             None => return,
         }
         if let Some(fleet) = &change.fleet {
-            let entries = round.desk().listed(&fleet.endpoints);
+            let entries = round.desk().listed(&fleet.endpoints, fleet.snapshot);
             round.listed(if fleet.snapshot { whole } else { ListKind::Changes }, &entries);
         }
         if let Some(purge) = &change.invalidate {
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// After the longest wait of any client, for what still ends then.
+const LET_GO: Duration = Duration::from_millis(1000);
+
 impl Desk {
     pub fn next_changes(&mut self) -> Option<Bytes> {
         if !std::mem::take(&mut self.feed_heard) {
@@ -80,19 +83,32 @@
         Some((named, self.now.saturating_sub(self.clock.span(unix_ms))))
     }
 
-    /// The list's lines as entries; a host that started anew gets new connections.
-    pub fn listed(&mut self, lines: &[Endpoint<'_>]) -> Vec<Entry> {
+    /// The list's lines as entries; a host that started anew gets new connections. Whom a whole list leaves out is
+    /// gone.
+    pub fn listed(&mut self, lines: &[Endpoint<'_>], whole: bool) -> Vec<Entry> {
         let mut entries = Vec::with_capacity(lines.len());
+        for index in 0..if whole { self.hosts.len() } else { 0 } {
+            if !lines.iter().any(|line| line.name.as_bytes() == self.hosts[index].name) {
+                let host = &mut self.hosts[index];
+                (host.entry.standing, host.gone_at) = (Standing::Gone, host.gone_at.or(Some(self.now)));
+                self.new_life(index, self.hosts[index].address);
+                self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
+            }
+        }
         for line in lines {
             let (index, new) = self.door.host(&line.name);
             if new {
-                let name = Bytes::copy_from_slice(line.name.as_bytes());
-                self.hosts.push(Host {
-                    name,
+                let host = Host {
+                    name: Bytes::copy_from_slice(line.name.as_bytes()),
                     entry: Entry { host: index, units: 1.0, ..Entry::default() },
                     address: None,
+                    gone_at: None,
                     links: Vec::new(),
-                });
+                };
+                match self.hosts.get_mut(index) {
+                    Some(place) => *place = host,
+                    None => self.hosts.push(host),
+                }
             }
             let Host { entry: known, address, .. } = &self.hosts[index];
             let (entry, fault) = self.door.entry(known, line, &self.clock);
@@ -100,7 +116,9 @@
             if let Some(what) = fault {
                 self.fault(format_args!("host {} has {what}: taken as gone", line.name));
             }
-            self.hosts[index].entry = entry;
+            let gone = entry.standing == Standing::Gone;
+            let host = &mut self.hosts[index];
+            (host.entry, host.gone_at) = (entry, host.gone_at.or(Some(self.now)).filter(|_| gone));
             self.new_life(index, address);
             if entry.standing != Standing::On {
                 self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
@@ -111,6 +129,20 @@
         entries
     }
 
+    /// Gives back what a host had that is gone for longer than any GET lasts: by then nothing in hand or in the
+    /// module names its index, and a new host may take it.
+    pub fn forget_gone(&mut self) {
+        let longest = self.manners.longest + LET_GO;
+        for host in &mut self.hosts {
+            let over = host.gone_at.is_some_and(|at| self.now >= at + longest);
+            if over && host.links.is_empty() && !host.name.is_empty() {
+                self.door.forget(&host.name);
+                self.counters.hosts_forgotten += 1;
+                (host.name, host.address) = (Bytes::new(), None);
+            }
+        }
+    }
+
     /// Ends connections of a process that is no more: this host's earlier one, or another's at the same address.
     fn new_life(&mut self, index: HostIndex, address: Option<SocketAddr>) {
         let moved = std::mem::replace(&mut self.hosts[index].address, address) != address;
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -145,10 +145,10 @@
         }
     }
 
-    /// Closes what is idle or does not move.
-    pub fn tidy(&mut self) {
+    /// Closes what is idle or does not move, now and then; true: it did so, and nothing is left to be told.
+    pub fn tidy(&mut self) -> bool {
         if self.now < self.tidy_at {
-            return;
+            return false;
         }
         self.tidy_at = self.now + TIDY_EVERY;
         let (now, idle, longest) = (self.now, self.manners.idle, self.manners.longest);
@@ -162,7 +162,7 @@
             self.counters.links_idle += 1;
             self.drop_link(key);
         }
-        self.end_stuck_links();
+        self.forget_gone();
         self.tidy_clients();
         for (key, client) in self.clients.iter_mut() {
             let flushed = client.connection.flushed();
@@ -174,6 +174,8 @@
                 self.heard_clients.push_back(key);
             }
         }
+        self.end_stuck_links();
+        self.ended.is_empty()
     }
 
     /// A part of an answer that stays one holds up all behind it: the connection is of no further use. It hurts
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -180,8 +180,7 @@
     }
 
     /// Open to GETs; a failed host, after its rest, to one trial at a time. A silent one, with a forward due
-    /// and no answer since, is passed by at once, whatever silences it; what is out there is late already and
-    /// stays, for a fill may run on after its client has left and be paid for twice.
+    /// and no answer since, is passed by; what is out there stays, for a fill may run on and be paid twice.
     fn usable(&self, now: Duration) -> bool {
         let silent = self.crowd.out > 0.0 && now >= self.due;
         self.on() && !silent && (!self.failed() || now >= self.rests_until && self.crowd.out == 0.0)
@@ -250,6 +249,11 @@
         told
     }
 
+    /// Forwards that are out at a host, by these books.
+    pub fn out_at(&self, host: HostIndex) -> f64 {
+        self.hosts.get(host).map_or(0.0, |h| h.crowd.out)
+    }
+
     /// The design's flag: over this router's share of a told rate, or, with none, by slow and failed fills.
     fn counts_busy(&self) -> bool {
         let (all, bad) = self.fills.sums();
@@ -291,9 +295,8 @@
         cold.then_some(start.from + (1.0 - start.from) * age)
     }
 
-    /// Cold-start budget. A fixed part of the keys, the same at every router, goes to a cold host, and this
-    /// router's part of what the host can bear is never exceeded. Also holds against a host lost and found
-    /// again. It hurts where the neighbours are overloaded while the cold host could do more.
+    /// Cold-start budget, also of a host lost and found again: a fixed part of the keys, the same at every
+    /// router, within this router's part of what the host bears. It hurts where neighbours are overloaded.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
         let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
@@ -367,8 +370,7 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
-    /// else, while busy, the ring's parent for what it holds, told by the flag that comes with it: a full
-    /// one, or a failed one, for when all fail it is the origin behind them.
+    /// else, while busy, a full or failed parent for what it holds, told by the flag that comes with it.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
@@ -537,10 +539,9 @@
     }
 
     pub fn abandoned(&mut self, place: Place) {
-        if let Some(g) = self.r.gets.get_mut(place) {
-            g.answered = true;
-            self.free(place);
-        }
+        let Some(g) = self.r.gets.get_mut(place) else { return };
+        g.answered = true;
+        self.free(place);
     }
 
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
@@ -671,7 +672,9 @@
             r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
             let sharers = if r.parental(entry) { r.site.parent_start.routers } else { r.site.routers };
             let h = &mut r.hosts[entry.host];
-            if h.entry.started < entry.started {
+            if h.entry.mark != entry.mark {
+                *h = Host::default();
+            } else if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
                 (h.failures, h.trials, h.crowd.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
             }
@@ -689,8 +692,7 @@
 
     pub fn purged(&mut self, named: Purged, age: Duration) {
         let at = self.now.saturating_sub(age);
-        let known = self.r.purges.entry(named).or_insert(at);
-        *known = at.max(*known);
+        self.r.purges.entry(named).and_modify(|known| *known = at.max(*known)).or_insert(at);
     }
 
     /// The wake-up: running means.
@@ -714,8 +716,7 @@
         if !r.busy {
             r.learnt.iter_mut().zip(&r.services).for_each(|(learnt, ds)| learnt.accepted_age = ds.fresh);
         }
-        let kept = r.site.purged_within + r.site.tick;
-        r.purges.retain(|_, at| now < *at + kept);
+        r.purges.retain(|_, at| now < *at + r.site.purged_within + r.site.tick);
         if now >= r.follow_at {
             r.follow_at = Duration::MAX;
             self.out.follow_list();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Rig, record, request, settings};
+use common::{HOSTS, Rig, record, request, settings};
 use insta::assert_snapshot;
 use myrtlegauge_dispatcher::program::{Told, moved};
 use myrtlegauge_dispatcher::routing::{Dispatcher, Room};
@@ -402,6 +402,37 @@
     assert_snapshot!(rig.trace);
 }
 
+#[test]
+fn a_host_gone_for_longer_than_any_get_gives_its_index_to_the_next() {
+    let mut told = settings();
+    for class in told["classes"].as_array_mut().unwrap() {
+        class["deadline_ms"] = json!(300.0);
+    }
+    let mut rig = Rig::with(told, Room { descriptors: 1024, memory: 192 << 20 });
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    let first = rig.last.clone();
+    rig.say("it goes; a new one, at its address, is told once nothing can name the old one any more");
+    let gone = json!({"seq": 2, "fleet": {"endpoints": [rig.line(&first, "left", 0)]}});
+    let mut new = rig.line(&first, "active", 0);
+    new["name"] = json!("cache-9");
+    rig.changes(&json!({"seq": 2, "results": [gone]}).to_string());
+    rig.until(1);
+    rig.settle(1500);
+    let told = json!({"seq": 3, "fleet": {"endpoints": [new]}});
+    rig.changes(&json!({"seq": 3, "results": [told]}).to_string());
+    rig.polled();
+    rig.say("its own part of the objects comes to it; the late answer of the old one went nowhere");
+    for number in 2..9 {
+        rig.get(number, "video", &[("HTTP_RESOURCE_KEY", &format!("{number:016x}"))]);
+        rig.until(1);
+        rig.answer(number, "200", "why=TCP_HIT", "the bytes");
+        rig.until(1);
+    }
+    assert_eq!(rig.dispatcher.hosts(), HOSTS.len());
+    assert_snapshot!(rig.trace);
+}
+
 #[test]
 fn a_wrong_start_is_told_in_one_line() {
     let good = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": "127.0.0.1:1",
