A fill's expected time is its source's wait and pace apart, not one factor

Checked by a log line for each GET without a source (probe, undone): two thirds were large fills held to be late by pace, at 2 to 3 times their sending time, with sources far under their bound. At fault: learn_pace took a fill's whole time as a multiple of its sending time, so the wait that small fills have too was multiplied by a large one's size.

Tried and undone: the wait with the weight of the pace, no better.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -163,20 +163,21 @@
         }
     }
 
-    /// Times its sending time that a fill from there takes, as seen lately.
-    fn fill_pace(&self, now: Duration) -> f64 {
-        let since = now.saturating_sub(self.filled_at).as_secs_f64();
-        1.0 + (self.pace - 1.0).max(0.0) * 0.5f64.powf(since / PACE_HALVES)
+    /// What a fill of a sending time takes from there, s, by its wait and its pace as seen lately.
+    fn fill_time(&self, sending: f64, now: Duration) -> f64 {
+        let lately = 0.5f64.powf(now.saturating_sub(self.filled_at).as_secs_f64() / PACE_HALVES);
+        self.wait * lately + sending * (1.0 + (self.pace - 1.0).max(0.0) * lately)
     }
 
     /// Learns from a fill's time, that of one not yet done included.
-    fn learn_pace(&mut self, spent: f64, sending: f64, now: Duration) {
-        let pace = self.fill_pace(now);
+    fn learn_fill(&mut self, spent: f64, wait: f64, sending: f64, now: Duration) {
+        let waited = self.fill_time(0.0, now);
+        let pace = self.fill_time(1.0, now) - waited;
         let weight = (PACE_BLEND * sending / self.pace_sending.max(sending)).min(1.0);
         self.pace_sending =
             if self.pace_sending > 0.0 { blended(self.pace_sending, sending, BLEND) } else { sending };
-        self.pace = blended(pace, spent / sending.max(1e-3), weight);
-        self.filled_at = now;
+        self.pace = blended(pace, (spent - wait).max(0.0) / sending.max(1e-3), weight);
+        (self.wait, self.filled_at) = (blended(waited, wait, PACE_BLEND), now);
     }
 
     /// Open to GETs; a failed host, after its rest, to one trial at a time. A silent one, with a forward due
@@ -190,8 +191,7 @@
         (self.last_answer, self.due) = (now, Duration::MAX);
     }
 
-    /// Guards against dead, silent and unreachable hosts, and cold ones that turn GETs away. A host that is
-    /// only crowded may be rested too; one trial at a time brings it back.
+    /// Guards against dead, silent and unreachable hosts, and cold ones that turn GETs away; hurts crowded ones.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
         self.failures = self.failures << 1 | u32::from(!success);
@@ -375,7 +375,7 @@
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
-        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && sending * h.fill_pace(now) <= within;
+        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && h.fill_time(sending, now) <= within;
         let (mut full, mut listed) = (None, None);
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
@@ -615,7 +615,7 @@
         let failed = sent.fill && (source_failed || cut_short && !in_time);
         let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
         if filled && returned || unfinished {
-            r.hosts[sent.to.source].learn_pace(spent, sending, now);
+            r.hosts[sent.to.source].learn_fill(spent, wait, sending, now);
         }
         if !sent.to.held_only && (filled && returned || failed) {
             r.hosts[sent.to.source].bound_fills(in_time && filled, now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,7 +24,8 @@
     pub fill_limit: f64,
     pub fill_least: f64,
     pub fills_cut_at: Duration,
-    /// Times their sending time that fills from there took, the mean sending time of those, and the last one.
+    /// Wait for fills from there, s, times their sending time that they took then, their mean sending time, the last.
+    pub wait: f64,
     pub pace: f64,
     pub pace_sending: f64,
     pub filled_at: Duration,
