--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -121,9 +121,9 @@
 
 #[test]
 fn a_wait_that_small_fills_have_too_is_no_reason_to_shed_a_large_one() {
-    let mut day = after_late_fills(Note::Filled, 320);
+    let mut day = after_late_fills(Note::Filled, 420);
     let get = Get { ds: 0, object: 100, size_kb: 4000.0, viewer_timeout: ms(5000), ..Get::default() };
-    day.trace.say("fills of 100 ms sending waited 220 ms; one of 400 ms has time for that");
+    day.trace.say("fills of 100 ms sending waited 320 ms; one of 400 ms has time for that");
     day.round(|round| round.take(get));
     assert_snapshot!(day.trace.lines);
 }
