--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -1,5 +1,6 @@
 //! The poll of the change log: one request at a time, at once again after an answer.
 
+use super::sockets::HOST_MOST;
 use super::{Dispatcher, Who};
 use crate::protocol::{Fault, changelog};
 use crate::transport::{Accounts, Connection, Hub, Reading};
@@ -108,7 +109,7 @@
     pub fn stir(&mut self, shared: &mut [u8]) -> bool {
         let Some(connection) = &mut self.connection else { return false };
         let reading = match connection.is_up().and_then(|up| connection.flush().map(|()| up)) {
-            Ok(true) => connection.read(shared),
+            Ok(true) => connection.read(shared, HOST_MOST),
             Ok(false) => Reading::Dry,
             Err(_) => Reading::Ended,
         };
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -10,6 +10,9 @@
 
 /// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1500);
+/// Bytes read in one turn from a client, who may send without end, and from a host, whose answers are larger.
+const CLIENT_MOST: usize = 64 * 1024;
+pub const HOST_MOST: usize = 256 * 1024;
 /// Time in which an answer that has begun becomes whole; hosts write theirs in one go.
 const PART_MOST: Duration = Duration::from_millis(250);
 
@@ -45,7 +48,7 @@
         let full = self.is_full_of_requests();
         let Self { clients, shared, now, .. } = self;
         let Some(client) = clients.get_mut(key) else { return false };
-        let (ended, again) = stir(&mut client.connection, shared, full);
+        let (ended, again) = stir(&mut client.connection, shared, full, CLIENT_MOST);
         client.ended |= ended;
         client.moved_at = *now;
         self.heard_clients.push_back(key);
@@ -66,7 +69,7 @@
         let Self { links, shared, now, .. } = self;
         let link = &mut links[key];
         let before = link.connection.unread();
-        let (ended, again) = stir(&mut link.connection, shared, full);
+        let (ended, again) = stir(&mut link.connection, shared, full, HOST_MOST);
         link.ended |= ended;
         if link.connection.unread() > before {
             link.heard_at = *now;
@@ -219,11 +222,11 @@
 }
 
 /// Writes what waits and reads what came; whether the connection has ended, and whether there is more to read.
-fn stir(connection: &mut Connection<Dispatcher>, shared: &mut [u8], full: bool) -> (bool, bool) {
+fn stir(connection: &mut Connection<Dispatcher>, shared: &mut [u8], full: bool, most: usize) -> (bool, bool) {
     let broken = connection.flush().is_err();
     if full && !broken {
         return (false, true);
     }
-    let reading = connection.read(shared);
+    let reading = connection.read(shared, most);
     (broken || reading == Reading::Ended, reading == Reading::More)
 }
--- a/crates/dispatcher/src/transport/connection.rs
+++ b/crates/dispatcher/src/transport/connection.rs
@@ -10,8 +10,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// Bytes read from one connection in one turn, so that one that is never dry can't keep the others waiting.
-const READ_MOST: usize = 256 * 1024;
+/// Room for bytes to come that a connection keeps while nothing waits to be parsed.
+const KEPT: usize = 4 * 1024;
 /// Pieces handed to the system in one write.
 const PIECES: usize = 32;
 
@@ -94,10 +94,11 @@
         Ok(self.up)
     }
 
-    /// Reads what has come, by way of a buffer that all connections share.
-    pub fn read(&mut self, shared: &mut [u8]) -> Reading {
+    /// Reads what has come, by way of a buffer that all connections share; not much over `most` bytes in one turn, so
+    /// that one that is never dry can't keep the others waiting.
+    pub fn read(&mut self, shared: &mut [u8], most: usize) -> Reading {
         let mut read = 0;
-        while read < READ_MOST {
+        while read < most {
             match (&*self.stream).read(shared) {
                 Ok(0) => return Reading::Ended,
                 Ok(n) => {
@@ -119,6 +120,10 @@
         let before = self.inbound.len();
         let parsed = parser(&mut self.inbound);
         self.accounts.buffered.take(before - self.inbound.len());
+        if self.inbound.is_empty() && self.inbound.capacity() > KEPT {
+            // A large message is over; what is left of its buffer would stay with an idle connection.
+            self.inbound = BytesMut::new();
+        }
         parsed
     }
 
