--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,6 +1,6 @@
 //! All decisions of a router. `Router::new` reads the settings; `Router::round(now, &mut out, |round| …)` is
-//! called once for all that came in, and the closure makes one plain call per message on `Round`. Decisions go
-//! straight into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`. Times are since the start.
+//! called once for all that came in, and the closure makes one plain call per message on `Round`. Decisions
+//! go into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`. Times are since the start.
 //!
 //! The design: a consistent-hash ring names cache and parent; a windowed count of origin fills sets `busy`;
 //! busy doubles the accepted age of a delivery service at each miss, up to its upper bound; idle rejects
@@ -121,7 +121,8 @@
     /// Times its full time that a transfer takes among these, by the room as learnt or told; 1 by neither.
     fn slowness(&self, others: f64, told: f64) -> f64 {
         let room = if self.room > 0.0 { self.room } else { told };
-        if room > 0.0 { (self.all(others) / room).max(1.0) } else { 1.0 }
+        let drag = if self.drag > PATIENT { self.drag } else { 1.0 };
+        if room > 0.0 { (self.all(others) / room).max(drag) } else { drag }
     }
 
     /// Learns from a transfer's pace what the link fits: at once while it is full, slowly more while not.
@@ -134,8 +135,8 @@
         }
     }
 
-    fn pass(&mut self) {
-        self.mean = blended(self.mean, self.out, SWEEP.div_duration_f64(MEAN_OVER));
+    fn pass(&mut self, drag: f64) {
+        (self.drag, self.mean) = (drag, blended(self.mean, self.out, SWEEP.div_duration_f64(MEAN_OVER)));
     }
 }
 
@@ -165,16 +166,16 @@
         }
     }
 
-    /// What a fill of a sending time takes from there, s, by its wait and its pace as seen lately.
-    fn fill_time(&self, sending: f64, now: Duration) -> f64 {
+    /// What a fill of a sending time takes from there, s, or a hit, by its wait and pace as seen lately.
+    fn time_for(&self, sending: f64, now: Duration) -> f64 {
         let lately = 0.5f64.powf(now.saturating_sub(self.filled_at).as_secs_f64() / PACE_HALVES);
         self.wait * lately + sending * (1.0 + (self.pace - 1.0).max(0.0) * lately)
     }
 
-    /// Learns from a fill's time, that of one not yet done included.
-    fn learn_fill(&mut self, spent: f64, wait: f64, sending: f64, now: Duration) {
-        let waited = self.fill_time(0.0, now);
-        let pace = self.fill_time(1.0, now) - waited;
+    /// Learns from a fill's or a hit's time, that of one not yet done included.
+    fn learn_time(&mut self, spent: f64, wait: f64, sending: f64, now: Duration) {
+        let waited = self.time_for(0.0, now);
+        let pace = self.time_for(1.0, now) - waited;
         let weight = (PACE_BLEND * sending / self.pace_sending.max(sending)).min(1.0);
         self.pace_sending =
             if self.pace_sending > 0.0 { blended(self.pace_sending, sending, BLEND) } else { sending };
@@ -193,7 +194,7 @@
         (self.last_answer, self.due) = (now, Duration::MAX);
     }
 
-    /// Guards against dead, silent and unreachable hosts, and cold ones that turn GETs away; hurts crowded ones.
+    /// Guards against dead, silent, unreachable and cold, refusing hosts. It hurts crowded ones.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
         self.failures = self.failures << 1 | u32::from(!success);
@@ -238,12 +239,10 @@
     }
 
     /// One round with all that came in at `now`.
-    pub fn round<D: Dispatch, T>(
-        &mut self,
-        now: Duration,
-        out: &mut D,
-        said: impl FnOnce(&mut Round<'_, D>) -> T,
-    ) -> T {
+    pub fn round<D, T>(&mut self, now: Duration, out: &mut D, said: impl FnOnce(&mut Round<'_, D>) -> T) -> T
+    where
+        D: Dispatch,
+    {
         self.fills.turn(now);
         let mut round = Round { r: self, out, now };
         let told = said(&mut round);
@@ -335,8 +334,7 @@
         named.iter().filter_map(|named| self.purges.get(named)).max().copied()
     }
 
-    /// The oldest copy that will do: the accepted age, never past a purge. The limit is never zero after a
-    /// purge, for zero means any age.
+    /// The oldest copy that will do: the accepted age, never past a purge, nor then zero (that is any age).
     fn oldest(&self, get: &Get, now: Duration) -> Duration {
         let accepted = self.learnt[get.ds].accepted_age;
         let Some(at) = self.purged_at(get) else { return accepted };
@@ -376,7 +374,7 @@
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
-        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && h.fill_time(sending, now) <= within;
+        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && h.time_for(sending, now) <= within;
         let (mut full, mut listed) = (None, None);
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
@@ -526,7 +524,7 @@
         self.free(place);
     }
 
-    /// Calls off what is out for an answered GET. Its place is reused once nothing is, so no late outcome errs.
+    /// Calls off what is out for an answered GET. Its place is reused only once nothing is.
     fn free(&mut self, place: Place) {
         let g = &mut self.r.gets[place];
         if let Some(sent) = g.out.as_mut().filter(|s| !s.withdrawn && self.r.site.cancel) {
@@ -557,8 +555,7 @@
         let none_failed = matches!(o.end, End::Miss | End::Spoilt);
         g.tried = [sent.to.host, sent.to.source].map(|tried| Some(tried).filter(|_| !none_failed));
         let InHand { get, key, sending, doubted, answered, may_have_run, .. } = *g;
-        // Two hosts that err tell of the GET, one that errs where another returns, of the host: guards against
-        // hosts that err, not those that were asked what nobody can answer. It hurts by a second forward.
+        // Two hosts that err tell of the GET; one that errs where another returns, of that host.
         g.doubted = if o.end == End::Errored { doubted.xor(Some(sent.to.host)) } else { doubted };
         if let Some(host) = doubted.filter(|&host| o.end == End::Returned && host != sent.to.host) {
             self.r.hosts[host].judge(self.now, false);
@@ -585,14 +582,13 @@
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
             h.answered(now);
         }
+        let silent = now >= sent.overdue && h.last_answer < sent.at;
         match o.end {
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
             End::Full if cold => h.judge(now, false),
             End::NoConnection | End::Reset => h.judge(now, false),
-            End::TimedOut | End::Withdrawn if now >= sent.overdue && h.last_answer < sent.at => {
-                h.judge(now, false)
-            }
+            End::TimedOut | End::Withdrawn if silent => h.judge(now, false),
             _ => {}
         }
         let (ds, spent) = (&r.services[get.ds], o.spent.as_secs_f64());
@@ -615,14 +611,14 @@
         // What its client or host broke off early tells nothing of a source.
         let failed = sent.fill && (source_failed || cut_short && !in_time);
         let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
-        if filled && returned || unfinished {
-            r.hosts[sent.to.source].learn_fill(spent, wait, sending, now);
+        let hit = matches!(o.note, Note::Hit | Note::Stale);
+        if (filled || hit) && returned || unfinished {
+            r.hosts[if hit { sent.to.host } else { sent.to.source }].learn_time(spent, wait, sending, now);
         }
         if !sent.to.held_only && (filled && returned || failed) {
             r.hosts[sent.to.source].bound_fills(in_time && filled, now);
         }
         let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
-        let hit = matches!(o.note, Note::Hit | Note::Stale);
         if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
             r.seen.set(key, now);
@@ -705,8 +701,12 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried = blended(r.carried, rate, SWEEP.div_duration_f64(WINDOW));
         }
-        r.link.pass();
-        r.caches.members().for_each(|cache| r.hosts[cache].crowd.pass());
+        r.link.pass(1.0);
+        let best = r.caches.members().map(|c| r.hosts[c].time_for(1.0, now)).fold(f64::INFINITY, f64::min);
+        for cache in r.caches.members() {
+            let drag = r.hosts[cache].time_for(1.0, now) / best;
+            r.hosts[cache].crowd.pass(drag);
+        }
     }
 
     /// Closes a round: the design's return to idle, purges that all have obeyed, the next wake-up.
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,8 @@
     pub out: f64,
     pub mean: f64,
     pub room: f64,
+    /// Times as long as at the best cache that hits take here lately.
+    pub drag: f64,
 }
 
 /// One forward that is out.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -146,6 +146,30 @@
     assert_snapshot!(counts.join("\n"));
 }
 
+#[test]
+fn a_cache_slower_than_the_best_one_is_passed_by_where_sizes_are_untold_too() {
+    let mut day = Day::new(settings());
+    let mut said = Vec::new();
+    for slow in [100, 900] {
+        let mut at_first = 0;
+        for object in 0..200 {
+            let get = Get { ds: 0, object: object % 40, viewer_timeout: ms(5000), ..Get::default() };
+            let mut place = 0;
+            day.round(|round| {
+                place = round.next_place();
+                round.take(get);
+            });
+            let host = day.trace.last.unwrap().host;
+            at_first += u32::from(host == CACHES[0] && (20..120).contains(&object));
+            day.now += ms(20);
+            day.end(place, 0, End::Returned, Note::Hit, if host == CACHES[0] { slow } else { 100 });
+            day.after(25);
+        }
+        said.push(format!("hits at cache 0 take {slow} ms, at the others 100: it gets {at_first} of 100"));
+    }
+    assert_snapshot!(said.join("\n"));
+}
+
 #[test]
 fn what_its_client_broke_off_early_cuts_no_source() {
     let mut day = Day::new(settings());
