--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -363,6 +363,16 @@
         writeln!(self.trace, "change log reads {}", text.lines().next().unwrap_or_default()).unwrap();
     }
 
+    /// Leaves the poll that waits without an answer, until another comes on a new connection.
+    pub fn stop_changelog(&mut self) {
+        self.polled();
+        let (start, had) = (Instant::now(), self.changelog.streams.len());
+        while self.changelog.streams.len() == had {
+            self.turn();
+            assert!(start.elapsed() < ms(3000), "the poll waits on");
+        }
+    }
+
     /// Another change log; what the earlier one has open stays so, in silence.
     pub fn move_changelog(&mut self) {
         let old = std::mem::replace(&mut self.changelog, StandIn::new("change log".into()));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -289,6 +289,9 @@
     rig.poll();
     rig.answer(1, "200", "why=TCP_HIT", "in hand");
     rig.until(1);
+    rig.say("it stops and stays open: asked on a new connection");
+    rig.stop_changelog();
+    rig.poll();
     rig.say("events are missing before the one that came: asked for again; then the answer breaks off");
     let purge = |seq: u64| json!({"seq": seq, "invalidate": {"bucket": 99, "time": 0}});
     rig.changes(&json!({"seq": 7, "results": [purge(3)]}).to_string());
