One way each to read settings, lose the feed's connection and place a host; no change else

A last reading of the change found things written twice: the door and the manners read settings by hand beside values::flag and number (now public); a host left out of a whole list was marked gone in a second copy of what a list line does; the feed lost its connection in three ways and its desk counted that in two; the count of marked outcomes among the last few stood in two places, the tests' wait for a poll as well. A link's running mean took a drag that means nothing there.

--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -35,8 +35,7 @@
 
 /// Follows the change log that the file names now; an unusable file changes nothing.
 fn reread(dispatcher: &mut Dispatcher, started: &str) {
-    let text = start::read();
-    let moved = text.as_deref().map_err(Clone::clone).and_then(|text| moved(started, text));
+    let moved = start::read().and_then(|text| moved(started, &text));
     match &moved {
         Ok((changelog, kept)) => {
             log::info!("read anew: the change log is at {changelog}");
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -12,6 +12,7 @@
 use crate::transport::{Accounts, Hub, Listener};
 use bytes::BytesMut;
 use myrtlegauge::interface::{End, Get, HostIndex, Place, Values, span};
+use myrtlegauge::values::{self, flag, number};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fmt::Arguments;
@@ -107,17 +108,14 @@
 
 impl Manners {
     pub fn read(told: &Values) -> Self {
-        let limits = told.get("limits");
-        let number = |name: &str| limits.and_then(|l| l.get(name)).and_then(|v| v.as_f64());
-        let time = |name: &str| span(number(name).unwrap_or(0.0));
         let services = told.get("classes").and_then(|v| v.as_array()).into_iter().flatten();
         let longest = services.filter_map(|ds| ds.get("deadline_ms")?.as_f64()).fold(0.0, f64::max);
         Self {
-            streams: number("streams_per_conn").map_or(1, |n| n as usize).max(1),
-            idle: time("conn_idle_ms").mul_f64(IDLE_PART),
-            connect: time("connect_timeout_ms"),
-            cancel: limits.and_then(|l| l.get("cancel")).and_then(|v| v.as_bool()).unwrap_or(false),
-            forwards: number("max_attempts").map_or(u32::MAX, |n| n as u32),
+            streams: number(told, "limits.streams_per_conn").map_or(1, |n| n as usize).max(1),
+            idle: values::span(told, "limits.conn_idle_ms").unwrap_or_default().mul_f64(IDLE_PART),
+            connect: values::span(told, "limits.connect_timeout_ms").unwrap_or_default(),
+            cancel: flag(told, "limits.cancel"),
+            forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
             longest: span(if longest > 0.0 { longest } else { door::BUDGET_MOST }),
         }
     }
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -6,6 +6,7 @@
 use crate::protocol::resp::Answer;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, Get, HostIndex, Load, Note, Standing, Values, mark, span};
+use myrtlegauge::values::flag;
 use std::collections::HashMap;
 
 pub struct Door {
@@ -33,10 +34,8 @@
             name.map(|name| Bytes::copy_from_slice(name.as_bytes())).ok_or("a delivery service has no name")
         };
         let services = list("classes")?.iter().map(service).collect::<Result<Vec<_>, _>>()?;
-        let passed_on = told.get("domain").and_then(|domain| domain.get("pass_on"));
-        let passed_on = |ds: usize| passed_on.and_then(|list| list.get(ds)?.as_bool()).unwrap_or(false);
         Ok(Self {
-            copies: (0..services.len()).map(|ds| !passed_on(ds)).collect(),
+            copies: (0..services.len()).map(|ds| !flag(told, &format!("domain.pass_on.{ds}"))).collect(),
             services,
             zones: names("zones")?,
             kinds: names("kinds")?,
--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/dispatcher/src/routing/feed.rs
@@ -49,10 +49,10 @@
     }
 
     /// Asks at another address from now on, at once; the numbers go on.
-    pub fn follow(&mut self, address: SocketAddr) {
+    pub fn follow(&mut self, address: SocketAddr, now: Duration) {
         (self.address, self.host) = (address, address.to_string());
-        self.connection = None;
-        (self.asked, self.due) = (false, Duration::ZERO);
+        self.lose(now);
+        self.due = now;
     }
 
     /// Whether an event that others should come before is taken: at the start. Later not at first, for those are
@@ -75,7 +75,6 @@
             return overdue;
         }
         if self.connection.is_none() {
-            self.ended = false;
             self.connection = Connection::opening(hub, self.address, Who::Feed, accounts).ok();
             if self.connection.is_none() {
                 self.lose(now);
@@ -117,23 +116,15 @@
         reading == Reading::More
     }
 
-    /// The next whole answer.
+    /// The next whole answer; after a fault the connection is of no further use.
     pub fn next(&mut self, now: Duration) -> Result<Option<Bytes>, Fault> {
         let Some(connection) = &mut self.connection else { return Ok(None) };
-        match connection.parse(changelog::next) {
-            Ok(Some(body)) => {
-                (self.asked, self.due) = (false, now);
-                Ok(Some(body))
-            }
-            Ok(None) if self.ended => {
-                self.lose(now);
-                Err(Fault("the change log's connection was lost"))
-            }
-            Ok(None) => Ok(None),
-            Err(fault) => {
-                self.lose(now);
-                Err(fault)
-            }
+        let body = connection.parse(changelog::next)?;
+        if body.is_some() {
+            (self.asked, self.due) = (false, now);
+        } else if self.ended {
+            return Err(Fault("the change log's connection was lost"));
         }
+        Ok(body)
     }
 }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -145,7 +145,7 @@
         self.desk.counters.reread += u64::from(changelog.is_some());
         self.desk.counters.reread_failed += u64::from(changelog.is_none());
         if let Some(changelog) = changelog {
-            self.desk.feed.follow(changelog);
+            self.desk.feed.follow(changelog, self.desk.now);
         }
     }
 
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -3,6 +3,7 @@
 use super::desk::Desk;
 use super::hands::{Hand, Out};
 use super::hosts::Host;
+use crate::protocol::Fault;
 use crate::protocol::changelog::Endpoint;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
@@ -23,9 +24,8 @@
                 self.feed_heard = body.is_some();
                 body
             }
-            Err(fault) => {
-                self.counters.polls_failed += 1;
-                self.fault(format_args!("{}", fault.0));
+            Err(Fault(what)) => {
+                self.unread(format_args!("{what}"));
                 None
             }
         }
@@ -89,10 +89,8 @@
         let mut entries = Vec::with_capacity(lines.len());
         for index in 0..if whole { self.hosts.len() } else { 0 } {
             if !lines.iter().any(|line| line.name.as_bytes() == self.hosts[index].name) {
-                let host = &mut self.hosts[index];
-                (host.entry.standing, host.gone_at) = (Standing::Gone, host.gone_at.or(Some(self.now)));
-                self.new_life(index, self.hosts[index].address);
-                self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
+                let Host { entry, address, .. } = self.hosts[index];
+                self.stands(index, Entry { standing: Standing::Gone, ..entry }, address);
             }
         }
         for line in lines {
@@ -116,19 +114,24 @@
             if let Some(what) = fault {
                 self.fault(format_args!("host {} has {what}: taken as gone", line.name));
             }
-            let gone = entry.standing == Standing::Gone;
-            let host = &mut self.hosts[index];
-            (host.entry, host.gone_at) = (entry, host.gone_at.or(Some(self.now)).filter(|_| gone));
-            self.new_life(index, address);
-            if entry.standing != Standing::On {
-                self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
-            }
+            self.stands(index, entry, address);
             entries.push(entry);
         }
         self.listed |= !entries.is_empty();
         entries
     }
 
+    /// Takes a host's entry and address as they are told now, with all that follows for its connections.
+    fn stands(&mut self, index: HostIndex, entry: Entry, address: Option<SocketAddr>) {
+        let gone = entry.standing == Standing::Gone;
+        let host = &mut self.hosts[index];
+        (host.entry, host.gone_at) = (entry, host.gone_at.or(Some(self.now)).filter(|_| gone));
+        self.new_life(index, address);
+        if entry.standing != Standing::On {
+            self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
+        }
+    }
+
     /// Gives back what a host had that is gone for longer than any GET lasts: by then nothing in hand or in the
     /// module names its index, and a new host may take it.
     pub fn forget_gone(&mut self) {
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -93,7 +93,9 @@
             }
             match self.listener.accept() {
                 Ok(Some(stream)) => {
-                    idle.into_iter().for_each(|key| self.drop_client(key));
+                    if let Some(key) = idle {
+                        self.drop_client(key);
+                    }
                     let key = self.clients.next_key();
                     let who = Who::Client(key);
                     if let Ok(connection) = Connection::accepted(&self.hub, stream, who, &self.accounts) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
-use crate::ring::{Memory, Ring, Window, mix};
+use crate::ring::{Memory, Ring, Window, marked, mix};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
 use slab::Slab;
 use std::collections::BTreeMap;
@@ -135,8 +135,8 @@
         }
     }
 
-    fn pass(&mut self, drag: f64) {
-        (self.drag, self.mean) = (drag, blended(self.mean, self.out, SWEEP.div_duration_f64(MEAN_OVER)));
+    fn pass(&mut self) {
+        self.mean = blended(self.mean, self.out, SWEEP.div_duration_f64(MEAN_OVER));
     }
 }
 
@@ -150,14 +150,14 @@
     }
 
     fn failed(&self) -> bool {
-        (self.failures & ((1 << FEW) - 1)).count_ones() > FEW / 2
+        marked(self.failures, FEW) > FEW / 2
     }
 
     /// Bounds the fills out from one source by whether they come in time: guards the location's link, parents
     /// and the origin; one late fill in four is chance. It hurts where a slow cache spoils a source's count.
     fn bound_fills(&mut self, in_time: bool, now: Duration) {
         self.late_fills = self.late_fills << 1 | u32::from(!in_time);
-        let late = (self.late_fills & ((1 << FEW) - 1)).count_ones() > 1;
+        let late = marked(self.late_fills, FEW) > 1;
         if in_time {
             self.fill_limit += if self.fills_out + 1.0 >= self.fill_limit { 1.0 } else { 0.0 };
         } else if late && now >= self.fills_cut_at + FILLS_CUT_EVERY {
@@ -582,13 +582,13 @@
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
             h.answered(now);
         }
-        let silent = now >= sent.overdue && h.last_answer < sent.at;
+        let unheard = now >= sent.overdue && h.last_answer < sent.at;
         match o.end {
             End::Returned | End::Miss => h.judge(now, true),
             End::Errored if source_failed && !straight => h.judge(now, true),
             End::Full if cold => h.judge(now, false),
             End::NoConnection | End::Reset => h.judge(now, false),
-            End::TimedOut | End::Withdrawn if silent => h.judge(now, false),
+            End::TimedOut | End::Withdrawn if unheard => h.judge(now, false),
             _ => {}
         }
         let (ds, spent) = (&r.services[get.ds], o.spent.as_secs_f64());
@@ -701,11 +701,11 @@
             let rate = std::mem::take(&mut r.sent_work) / warm as f64 / SWEEP.as_secs_f64();
             r.carried = blended(r.carried, rate, SWEEP.div_duration_f64(WINDOW));
         }
-        r.link.pass(1.0);
+        r.link.pass();
         let best = r.caches.members().map(|c| r.hosts[c].time_for(1.0, now)).fold(f64::INFINITY, f64::min);
         for cache in r.caches.members() {
-            let drag = r.hosts[cache].time_for(1.0, now) / best;
-            r.hosts[cache].crowd.pass(drag);
+            r.hosts[cache].crowd.pass();
+            r.hosts[cache].crowd.drag = r.hosts[cache].time_for(1.0, now) / best;
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,4 @@
 pub mod interface;
 mod ring;
 mod state;
-mod values;
+pub mod values;
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -11,6 +11,11 @@
     x ^ (x >> 31)
 }
 
+/// How many of the last few outcomes are marked, each a bit, the newest the lowest.
+pub fn marked(outcomes: u32, few: u32) -> u32 {
+    (outcomes & ((1 << few) - 1)).count_ones()
+}
+
 /// Members that have a bit each while the ring is walked; those beyond may be met more than once.
 const MEMBERS: usize = 128;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,7 +26,8 @@
     pub fills_cut_at: Duration,
     /// Last fills from there, newest in the lowest bit, 1 a late one.
     pub late_fills: u32,
-    /// Wait for fills from there, s, times their sending time that they took then, their mean sending time, the last.
+    /// Of fills from there, and of hits at a cache: their wait, s, times their sending time that they took then,
+    /// their mean sending time, the last.
     pub wait: f64,
     pub pace: f64,
     pub pace_sending: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -348,10 +348,16 @@
 
     /// Turns until a poll waits at the change log.
     pub fn polled(&mut self) {
+        self.turn_until("no poll came", |rig| {
+            rig.changelog.streams.last().is_some_and(|stream| stream.inbound.ends_with(b"\r\n\r\n"))
+        });
+    }
+
+    fn turn_until(&mut self, else_what: &str, done: impl Fn(&Self) -> bool) {
         let start = Instant::now();
-        while !self.changelog.streams.last().is_some_and(|stream| stream.inbound.ends_with(b"\r\n\r\n")) {
+        while !done(self) {
             self.turn();
-            assert!(start.elapsed() < ms(3000), "no poll came");
+            assert!(start.elapsed() < ms(3000), "{else_what}");
         }
     }
 
@@ -366,11 +372,8 @@
     /// Leaves the poll that waits without an answer, until another comes on a new connection.
     pub fn stop_changelog(&mut self) {
         self.polled();
-        let (start, had) = (Instant::now(), self.changelog.streams.len());
-        while self.changelog.streams.len() == had {
-            self.turn();
-            assert!(start.elapsed() < ms(3000), "the poll waits on");
-        }
+        let had = self.changelog.streams.len();
+        self.turn_until("the poll waits on", |rig| rig.changelog.streams.len() > had);
     }
 
     /// Another change log; what the earlier one has open stays so, in silence.
