Packages wire, operator and cli: one program with subcommands and an operator file

The growth needs a ground floor: a control service must read the change log as the dispatcher does, and be told of its installation in a file that an operator can get right.

Connections, parsers, the poll of the change log and the names of the list move unchanged to crates/wire, for the control service needs them too. The program is now crates/cli; without arguments it starts the dispatcher as before, with the same log lines. Beside it `check`, which tells every fault of an operator file by line and column, and `completions`.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,55 @@
+//! `myrtlegauge`: without arguments the dispatcher, as the platform starts it; with them the subcommands.
+
+mod arguments;
+
+use arguments::{Arguments, Command};
+use clap::{CommandFactory, Parser};
+use myrtlegauge_operator as operator;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// What scripts go by.
+const UNUSABLE: u8 = 2;
+
+fn main() -> ExitCode {
+    if std::env::args_os().len() <= 1 {
+        operator::logs::start_plain();
+        return ended(myrtlegauge_dispatcher::program::run());
+    }
+    match Arguments::parse().command {
+        Command::Check { explain: true, .. } => {
+            let mut text = String::new();
+            operator::form::explain(&operator::file::FILE, 0, &mut text);
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Command::Check { file, .. } => match file.as_deref().map(read) {
+            Some(Ok(file)) => {
+                println!("{} delivery services, {} hosts, no fault", file.services.len(), file.hosts.len());
+                ExitCode::SUCCESS
+            }
+            _ => ExitCode::from(UNUSABLE),
+        },
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Arguments::command(), "myrtlegauge", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn ended(result: Result<(), String>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("myrtlegauge: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads an operator file; all that is wrong with it goes to standard error, a line each.
+fn read(path: &Path) -> Result<operator::OperatorFile, ()> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| eprintln!("{name}: {e}"))?;
+    operator::read(&text).map_err(|faults| faults.iter().for_each(|fault| eprintln!("{name}:{fault}")))
+}
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -1,7 +1,5 @@
-//! The traffic router on sockets. Modules go by layer, each of which knows only those before it: transport, protocol,
-//! routing, program.
+//! The traffic router on sockets, by layer, each of which knows only those before it: transport and protocol (of
+//! `myrtlegauge-wire`), routing, program.
 
 pub mod program;
-pub mod protocol;
 pub mod routing;
-mod transport;
--- a/crates/dispatcher/src/program/start.rs
+++ b/crates/dispatcher/src/program/start.rs
@@ -1,8 +1,8 @@
 //! What the program is told at its start, and what of it may change later.
 
-use crate::protocol::changelog::Changes;
 use crate::routing::{Posting, Room};
 use myrtlegauge::interface::Values;
+use myrtlegauge_wire::protocol::changelog::Changes;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::net::SocketAddr;
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -5,10 +5,10 @@
 use super::door;
 use super::hands::Hand;
 use super::{Key, Who};
-use crate::protocol::Fault;
-use crate::protocol::fastcgi::{self, Message, Request};
 use bytes::Bytes;
 use myrtlegauge::interface::{Get, Place};
+use myrtlegauge_wire::protocol::Fault;
+use myrtlegauge_wire::protocol::fastcgi::{self, Message, Request};
 
 impl Desk {
     /// Reads on with one client until a GET is whole; none once nothing more has come.
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -1,11 +1,11 @@
 //! Connections of clients, and the answers that go out on them.
 
 use super::Dispatcher;
-use crate::protocol::Fault;
-use crate::protocol::fastcgi::{Message, Reader};
-use crate::transport::{Connection, Gauge};
 use bytes::Bytes;
 use myrtlegauge::interface::Place;
+use myrtlegauge_wire::protocol::Fault;
+use myrtlegauge_wire::protocol::fastcgi::{Message, Reader};
+use myrtlegauge_wire::transport::{Connection, Gauge};
 use std::io::Write;
 use std::time::Duration;
 
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -1,18 +1,19 @@
 //! The books between the sockets and the module: who is connected, what is in hand, what is due.
 
 use super::clients::Client;
-use super::clock::Clock;
 use super::counters::Counters;
 use super::door::{self, Door};
-use super::feed::Feed;
 use super::hands::Hands;
 use super::hosts::{Host, Link};
 use super::keyed::Keyed;
 use super::{Dispatcher, Key, Who};
-use crate::transport::{Accounts, Hub, Listener};
 use bytes::BytesMut;
 use myrtlegauge::interface::{End, Get, HostIndex, Place, Values, span};
 use myrtlegauge::values::{self, flag, number};
+use myrtlegauge_wire::clock::Clock;
+use myrtlegauge_wire::feed::Feed;
+use myrtlegauge_wire::places::Places;
+use myrtlegauge_wire::transport::{Accounts, Hub, Listener};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fmt::Arguments;
@@ -69,6 +70,7 @@
     /// The time of this round.
     pub now: Duration,
     pub door: Door,
+    pub places: Places,
     pub manners: Manners,
     pub hands: Hands,
     pub hosts: Vec<Host>,
@@ -89,7 +91,7 @@
     /// Where messages are written before they go out, and the fields or the head of one.
     pub pen: BytesMut,
     pub text: Vec<u8>,
-    pub feed: Feed,
+    pub feed: Feed<Dispatcher>,
     pub feed_heard: bool,
     pub listed: bool,
     pub listener: Listener,
@@ -126,8 +128,8 @@
         hub: Hub<Dispatcher>,
         listener: Listener,
         accounts: Rc<Accounts>,
-        feed: Feed,
-        (door, manners): (Door, Manners),
+        feed: Feed<Dispatcher>,
+        (door, places, manners): (Door, Places, Manners),
         room: Room,
         clock: Clock,
     ) -> Self {
@@ -138,6 +140,7 @@
             now: clock.now(),
             clock,
             door,
+            places,
             manners,
             hands: Hands::default(),
             hosts: Vec::new(),
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -1,46 +1,29 @@
-//! What messages name, as the module knows it: ids become small indices here, words its types.
+//! What messages of clients and hosts say, as the module takes it: names become small indices here, words its types.
 
-use super::clock::Clock;
-use crate::protocol::changelog::Endpoint;
-use crate::protocol::fastcgi::Request;
-use crate::protocol::resp::Answer;
 use bytes::Bytes;
-use myrtlegauge::interface::{End, Entry, Get, HostIndex, Load, Note, Standing, Values, mark, span};
+use myrtlegauge::interface::{End, Get, Load, Note, Values, span};
 use myrtlegauge::values::flag;
-use std::collections::HashMap;
+use myrtlegauge_wire::protocol::fastcgi::Request;
+use myrtlegauge_wire::protocol::resp::Answer;
 
 pub struct Door {
     pub services: Vec<Bytes>,
     /// Whether a service's GETs are answered by copies; those that are passed on are not.
     copies: Vec<bool>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    indices: HashMap<String, HostIndex>,
-    /// Indices given back.
-    free: Vec<HostIndex>,
 }
 
 impl Door {
     pub fn new(told: &Values) -> Result<Self, String> {
-        let list = |name: &str| {
-            let list = told.get(name).and_then(|v| v.as_array());
-            list.ok_or_else(|| format!("setting {name} is missing or no list"))
-        };
-        let names = |name: &str| -> Result<Vec<String>, String> {
-            Ok(list(name)?.iter().map(|v| v.as_str().unwrap_or_default().to_owned()).collect())
-        };
+        let listed =
+            told.get("classes").and_then(|v| v.as_array()).ok_or("setting classes is missing or no list")?;
         let service = |v: &serde_json::Value| {
             let name = v.get("name").and_then(|name| name.as_str());
             name.map(|name| Bytes::copy_from_slice(name.as_bytes())).ok_or("a delivery service has no name")
         };
-        let services = list("classes")?.iter().map(service).collect::<Result<Vec<_>, _>>()?;
+        let services = listed.iter().map(service).collect::<Result<Vec<_>, _>>()?;
         Ok(Self {
             copies: (0..services.len()).map(|ds| !flag(told, &format!("domain.pass_on.{ds}"))).collect(),
             services,
-            zones: names("zones")?,
-            kinds: names("kinds")?,
-            indices: HashMap::new(),
-            free: Vec::new(),
         })
     }
 
@@ -83,51 +66,6 @@
             _ => return None,
         })
     }
-
-    /// An index for a host's name, the same until it is given back; and whether it is new.
-    pub fn host(&mut self, name: &str) -> (HostIndex, bool) {
-        if let Some(&known) = self.indices.get(name) {
-            return (known, false);
-        }
-        let index = self.free.pop().unwrap_or(self.indices.len());
-        self.indices.insert(name.to_owned(), index);
-        (index, true)
-    }
-
-    /// Gives the index of a host back.
-    pub fn forget(&mut self, name: &[u8]) {
-        let index = std::str::from_utf8(name).ok().and_then(|name| self.indices.remove(name));
-        self.free.extend(index);
-    }
-
-    /// A line of the list, with what is wrong with it. What it leaves out is as it was known; a host that can't be
-    /// placed is taken as gone.
-    pub fn entry(&self, known: &Entry, told: &Endpoint<'_>, clock: &Clock) -> (Entry, Option<&'static str>) {
-        let place = |list: &[String], name: &str, known: usize| match name {
-            "" => Some(known),
-            _ => list.iter().position(|listed| listed == name),
-        };
-        let standing = match &*told.status {
-            "active" => Ok(Standing::On),
-            "leaving" => Ok(Standing::Draining),
-            "left" => Ok(Standing::Gone),
-            _ => Err("a status that is not known"),
-        };
-        let zone = place(&self.zones, &told.zone, known.zone).ok_or("a zone that is not in the settings");
-        let kind = place(&self.kinds, &told.kind, known.kind).ok_or("a type that is not in the settings");
-        let fault = standing.err().or(zone.err()).or(kind.err());
-        let entry = Entry {
-            host: known.host,
-            mark: mark(&told.name),
-            standing: standing.ok().filter(|_| fault.is_none()).unwrap_or(Standing::Gone),
-            started: told.since_ms.map_or(known.started, |at| clock.span(at)),
-            zone: zone.unwrap_or(known.zone),
-            cell: told.group.unwrap_or(known.cell),
-            kind: kind.unwrap_or(known.kind),
-            units: told.weight.unwrap_or(known.units),
-        };
-        (entry, fault)
-    }
 }
 
 /// Digits of an object's or a request's id.
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -1,8 +1,8 @@
 //! GETs in hand, each in the place that the module gave it.
 
 use super::Key;
-use crate::protocol::fastcgi::Request;
 use myrtlegauge::interface::{Forward, Get, Place};
+use myrtlegauge_wire::protocol::fastcgi::Request;
 use std::collections::HashSet;
 use std::time::Duration;
 
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -1,9 +1,9 @@
 //! Cache hosts, parents and the origin as they are connected to. A connection belongs to one life of one host.
 
 use super::{Dispatcher, Key};
-use crate::transport::Connection;
 use bytes::Bytes;
 use myrtlegauge::interface::{Entry, HostIndex, Place};
+use myrtlegauge_wire::transport::Connection;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -2,11 +2,9 @@
 
 mod answers;
 mod clients;
-mod clock;
 mod counters;
 mod desk;
 mod door;
-mod feed;
 mod forwards;
 mod hands;
 mod hosts;
@@ -14,16 +12,17 @@
 mod news;
 mod sockets;
 
-use crate::protocol::changelog;
-use crate::transport::{Accounts, Hub, Listener, Owner};
 use bytes::Bytes;
-use clock::Clock;
 pub use desk::{Desk, Room};
 use door::Door;
-use feed::Feed;
 pub use keyed::Key;
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListKind, Purged, Values};
+use myrtlegauge_wire::clock::Clock;
+use myrtlegauge_wire::feed::Feed;
+use myrtlegauge_wire::places::Places;
+use myrtlegauge_wire::protocol::changelog;
+use myrtlegauge_wire::transport::{Accounts, Hub, Listener, Owner};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -66,8 +65,9 @@
         let accounts = Rc::new(Accounts::default());
         let listener = Listener::open(&hub, posting.listen, Who::Listener, &accounts)
             .map_err(|e| format!("can't listen on {}: {e}", posting.listen))?;
-        let feed = Feed::new(posting.changelog);
-        let names = (Door::new(posting.facts)?, desk::Manners::read(posting.facts));
+        let feed = Feed::new(posting.changelog, Who::Feed);
+        let names =
+            (Door::new(posting.facts)?, Places::new(posting.facts)?, desk::Manners::read(posting.facts));
         let desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
         let mut started = Self { router, desk };
         let now = started.desk.now;
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -3,10 +3,10 @@
 use super::desk::Desk;
 use super::hands::{Hand, Out};
 use super::hosts::Host;
-use crate::protocol::Fault;
-use crate::protocol::changelog::Endpoint;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
+use myrtlegauge_wire::protocol::Fault;
+use myrtlegauge_wire::protocol::changelog::Endpoint;
 use std::fmt::Arguments;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -94,7 +94,7 @@
             }
         }
         for line in lines {
-            let (index, new) = self.door.host(&line.name);
+            let (index, new) = self.places.host(&line.name);
             if new {
                 let host = Host {
                     name: Bytes::copy_from_slice(line.name.as_bytes()),
@@ -109,7 +109,7 @@
                 }
             }
             let Host { entry: known, address, .. } = &self.hosts[index];
-            let (entry, fault) = self.door.entry(known, line, &self.clock);
+            let (entry, fault) = self.places.entry(known, line, &self.clock);
             let address = line.address.parse().ok().or(*address);
             if let Some(what) = fault {
                 self.fault(format_args!("host {} has {what}: taken as gone", line.name));
@@ -139,7 +139,7 @@
         for host in &mut self.hosts {
             let over = host.gone_at.is_some_and(|at| self.now >= at + longest);
             if over && host.links.is_empty() && !host.name.is_empty() {
-                self.door.forget(&host.name);
+                self.places.forget(&host.name);
                 self.counters.hosts_forgotten += 1;
                 (host.name, host.address) = (Bytes::new(), None);
             }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -4,8 +4,8 @@
 use super::desk::{Desk, TIDY_EVERY};
 use super::hosts::Link;
 use super::{Dispatcher, Key, Who};
-use crate::transport::{Connection, Reading};
 use myrtlegauge::interface::End;
+use myrtlegauge_wire::transport::{Connection, Reading};
 use std::time::Duration;
 
 /// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips.
--- a/crates/dispatcher/src/routing/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -1,9 +1,7 @@
 //! The poll of the change log: one request at a time, at once again after an answer.
 
-use super::sockets::HOST_MOST;
-use super::{Dispatcher, Who};
 use crate::protocol::{Fault, changelog};
-use crate::transport::{Accounts, Connection, Hub, Reading};
+use crate::transport::{Accounts, Connection, Hub, Owner, Reading};
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,10 +15,15 @@
 /// Pause after a loss or an answer that brought nothing too soon: no flood, and far under any grace on drains.
 const AGAIN: Duration = Duration::from_millis(50);
 
-pub struct Feed {
+/// Bytes read from the change log in one turn.
+const READ_MOST: usize = 256 * 1024;
+
+pub struct Feed<O: Owner> {
     address: SocketAddr,
     host: String,
-    connection: Option<Connection<Dispatcher>>,
+    /// How the owner knows that it stirred.
+    key: O::Key,
+    connection: Option<Connection<O>>,
     asked: bool,
     asked_at: Duration,
     /// When to give up or to ask again.
@@ -33,11 +36,12 @@
     beyond: u64,
 }
 
-impl Feed {
-    pub fn new(address: SocketAddr) -> Self {
+impl<O: Owner> Feed<O> {
+    pub fn new(address: SocketAddr, key: O::Key) -> Self {
         Self {
             address,
             host: address.to_string(),
+            key,
             connection: None,
             asked: false,
             asked_at: Duration::ZERO,
@@ -66,7 +70,7 @@
     }
 
     /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
-    pub fn tend(&mut self, hub: &Hub<Dispatcher>, accounts: &Rc<Accounts>, now: Duration) -> bool {
+    pub fn tend(&mut self, hub: &Hub<O>, accounts: &Rc<Accounts>, now: Duration) -> bool {
         let overdue = self.connection.is_some() && self.asked && now >= self.due;
         if overdue {
             self.lose(now);
@@ -75,7 +79,7 @@
             return overdue;
         }
         if self.connection.is_none() {
-            self.connection = Connection::opening(hub, self.address, Who::Feed, accounts).ok();
+            self.connection = Connection::opening(hub, self.address, self.key, accounts).ok();
             if self.connection.is_none() {
                 self.lose(now);
                 return true;
@@ -108,7 +112,7 @@
     pub fn stir(&mut self, shared: &mut [u8]) -> bool {
         let Some(connection) = &mut self.connection else { return false };
         let reading = match connection.is_up().and_then(|up| connection.flush().map(|()| up)) {
-            Ok(true) => connection.read(shared, HOST_MOST),
+            Ok(true) => connection.read(shared, READ_MOST),
             Ok(false) => Reading::Dry,
             Err(_) => Reading::Ended,
         };
--- /dev/null
+++ b/crates/wire/src/places.rs
@@ -0,0 +1,71 @@
+//! The names of the list of hosts, as the module knows them: places and kinds by their position in the settings, hosts by
+//! small indices that are given back.
+
+use crate::clock::Clock;
+use crate::protocol::changelog::Endpoint;
+use myrtlegauge::interface::{Entry, HostIndex, Standing, Values, mark};
+use std::collections::HashMap;
+
+pub struct Places {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    indices: HashMap<String, HostIndex>,
+    /// Indices given back.
+    free: Vec<HostIndex>,
+}
+
+impl Places {
+    pub fn new(told: &Values) -> Result<Self, String> {
+        let names = |name: &str| -> Result<Vec<String>, String> {
+            let list = told.get(name).and_then(|v| v.as_array());
+            let list = list.ok_or_else(|| format!("setting {name} is missing or no list"))?;
+            Ok(list.iter().map(|v| v.as_str().unwrap_or_default().to_owned()).collect())
+        };
+        Ok(Self { zones: names("zones")?, kinds: names("kinds")?, indices: HashMap::new(), free: Vec::new() })
+    }
+
+    /// An index for a host's name, the same until it is given back; and whether it is new.
+    pub fn host(&mut self, name: &str) -> (HostIndex, bool) {
+        if let Some(&known) = self.indices.get(name) {
+            return (known, false);
+        }
+        let index = self.free.pop().unwrap_or(self.indices.len());
+        self.indices.insert(name.to_owned(), index);
+        (index, true)
+    }
+
+    /// Gives the index of a host back.
+    pub fn forget(&mut self, name: &[u8]) {
+        let index = std::str::from_utf8(name).ok().and_then(|name| self.indices.remove(name));
+        self.free.extend(index);
+    }
+
+    /// A line of the list, with what is wrong with it. What it leaves out is as it was known; a host that can't be
+    /// placed is taken as gone.
+    pub fn entry(&self, known: &Entry, told: &Endpoint<'_>, clock: &Clock) -> (Entry, Option<&'static str>) {
+        let place = |list: &[String], name: &str, known: usize| match name {
+            "" => Some(known),
+            _ => list.iter().position(|listed| listed == name),
+        };
+        let standing = match &*told.status {
+            "active" => Ok(Standing::On),
+            "leaving" => Ok(Standing::Draining),
+            "left" => Ok(Standing::Gone),
+            _ => Err("a status that is not known"),
+        };
+        let zone = place(&self.zones, &told.zone, known.zone).ok_or("a zone that is not in the settings");
+        let kind = place(&self.kinds, &told.kind, known.kind).ok_or("a type that is not in the settings");
+        let fault = standing.err().or(zone.err()).or(kind.err());
+        let entry = Entry {
+            host: known.host,
+            mark: mark(&told.name),
+            standing: standing.ok().filter(|_| fault.is_none()).unwrap_or(Standing::Gone),
+            started: told.since_ms.map_or(known.started, |at| clock.span(at)),
+            zone: zone.unwrap_or(known.zone),
+            cell: told.group.unwrap_or(known.cell),
+            kind: kind.unwrap_or(known.kind),
+            units: told.weight.unwrap_or(known.units),
+        };
+        (entry, fault)
+    }
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use common::{record, request};
-use myrtlegauge_dispatcher::protocol::{Fault, changelog, fastcgi, resp};
+use myrtlegauge_wire::protocol::{Fault, changelog, fastcgi, resp};
 use std::fmt::Debug;
 use std::time::Duration;
 
