Control service core: what is published of the module's decisions, and a proxy that follows it

Proxies of other installations want our choices of cache and fill source. This is the part without I/O: the module's reading (which host takes what part of the keys, terms of each service, sources and their bounds), the published messages, the state of all xDS streams, leases, load reports, and the core of a proxy that follows.

A cold host's part grows in steps of 1/64, so that a follower's part is the module's for a while.

--- /dev/null
+++ b/crates/control/src/fleet.rs
@@ -0,0 +1,443 @@
+//! The hosts, the purges and the decision module, and what is published of them. No I/O: news and the time come in,
+//! resources go to the exchange.
+
+use crate::exchange::Exchange;
+use crate::messages::{self, BY_HOST, HostLine, PurgeLine, ROUTES, RouteLine, TIERS, TermsLine, Tier};
+use crate::reports::Summary;
+use crate::shelf::{Kind, Resource, Version};
+use myrtlegauge::decide::Router;
+use myrtlegauge::interface::{
+    Dispatch, Entry, Forward, HostIndex, ListKind, Place, Purged, Standing, Values,
+};
+use myrtlegauge::reading::{Reading, Share};
+use myrtlegauge::values::{self, flag, list, number};
+use myrtlegauge_wire::clock::Clock;
+use myrtlegauge_wire::places::Places;
+use myrtlegauge_wire::protocol::changelog::{Endpoint, Purge};
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A host gone for so long is forgotten: by then no proxy can still mean it.
+const FORGET: Duration = Duration::from_secs(60);
+/// Time to connect that proxies are told: under the least grace, for a host may drain meanwhile.
+const CONNECT: Duration = Duration::from_millis(200);
+/// Purges held at once; a log that names more than that in the time for which purges hold is out of its mind, and the
+/// oldest go first.
+const PURGES_MOST: usize = 65_536;
+
+/// A host by its index.
+struct Known {
+    name: String,
+    address: Option<SocketAddr>,
+    entry: Entry,
+    gone_at: Option<Duration>,
+    /// As it was published last.
+    line: Option<HostLine>,
+}
+
+/// Where the module's decisions would go: a control service takes no GETs, so only its wake-up matters.
+#[derive(Default)]
+struct Bell {
+    rings: Option<Duration>,
+}
+
+impl Dispatch for Bell {
+    fn forward(&mut self, _: Place, _: &Forward) {}
+    fn withdraw(&mut self, _: Place, _: u32) {}
+    fn shed(&mut self, _: Place, _: Option<Duration>) {}
+    fn error(&mut self, _: Place) {}
+    fn settled(&mut self, _: Place) {}
+    fn wake(&mut self, after: Duration) {
+        self.rings = Some(after);
+    }
+    fn follow_list(&mut self) {}
+    fn log(&mut self, line: std::fmt::Arguments<'_>) {
+        log::info!("{line}");
+    }
+}
+
+/// A delivery service as far as proxies are told of it for good.
+struct Service {
+    name: String,
+    passed_on: bool,
+    timeout: Duration,
+}
+
+pub struct Fleet {
+    router: Router,
+    bell: Bell,
+    wakes: Duration,
+    places: Places,
+    clock: Clock,
+    hosts: Vec<Known>,
+    /// By what it names, when it was purged, Unix milliseconds.
+    purges: BTreeMap<Purged, u64>,
+    services: Vec<Service>,
+    parent_kind: Option<usize>,
+    origin_kind: usize,
+    here: usize,
+    purged_within: Duration,
+    /// Terms as published last, by service.
+    terms: Vec<Option<TermsLine>>,
+    routed: bool,
+    pub faults: u64,
+}
+
+impl Fleet {
+    pub fn new(facts: &Values, seed: u64, clock: Clock) -> Result<Self, String> {
+        let services = list(facts, "classes")?.iter().enumerate().map(|(ds, class)| {
+            let name =
+                class.get("name").and_then(|name| name.as_str()).ok_or("a delivery service has no name")?;
+            let timeout = values::span(facts, &format!("classes.{ds}.deadline_ms"))?;
+            Ok(Service {
+                name: name.to_owned(),
+                passed_on: flag(facts, &format!("domain.pass_on.{ds}")),
+                timeout,
+            })
+        });
+        let services = services.collect::<Result<Vec<_>, String>>()?;
+        let kind =
+            |name: &str| number(facts, name).ok().filter(|&kind| kind >= 0.0).map(|kind| kind as usize);
+        Ok(Self {
+            router: Router::new(facts, seed)?,
+            bell: Bell::default(),
+            wakes: Duration::ZERO,
+            places: Places::new(facts)?,
+            clock,
+            hosts: Vec::new(),
+            purges: BTreeMap::new(),
+            terms: vec![None; services.len()],
+            services,
+            parent_kind: kind("domain.shield_kind"),
+            origin_kind: kind("domain.master_kind").ok_or("setting domain.master_kind is missing")?,
+            here: number(facts, "my_zone")? as usize,
+            purged_within: values::span(facts, "domain.gone_everywhere_ms")?,
+            routed: false,
+            faults: 0,
+        })
+    }
+
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    pub fn reading(&self, now: Duration) -> Reading {
+        self.router.reading(now)
+    }
+
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.iter().map(|service| service.name.as_str())
+    }
+
+    pub fn host_name(&self, index: HostIndex) -> &str {
+        &self.hosts[index].name
+    }
+
+    /// The list as the module was told it.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.hosts.iter().filter(|host| !host.name.is_empty()).map(|host| &host.entry)
+    }
+
+    /// Hosts that are not gone.
+    pub fn len(&self) -> usize {
+        self.hosts.iter().filter(|host| host.gone_at.is_none()).count()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The host that listens at an address now.
+    pub fn at(&self, address: SocketAddr) -> Option<HostIndex> {
+        self.hosts.iter().position(|host| host.address == Some(address) && host.gone_at.is_none())
+    }
+
+    pub fn service(&self, name: &str) -> Option<usize> {
+        self.services.iter().position(|service| service.name == name)
+    }
+
+    /// Takes lines of the list; whom a whole one leaves out is gone.
+    pub fn listed(&mut self, lines: &[Endpoint<'_>], whole: bool, now: Duration) {
+        let mut entries = Vec::with_capacity(lines.len());
+        if whole {
+            let told: std::collections::BTreeSet<&str> = lines.iter().map(|line| &*line.name).collect();
+            for host in &mut self.hosts {
+                if host.gone_at.is_none() && !told.contains(host.name.as_str()) {
+                    host.entry.standing = Standing::Gone;
+                    host.gone_at = Some(now);
+                }
+            }
+        }
+        for line in lines {
+            let (index, new) = self.places.host(&line.name);
+            if new {
+                let entry = Entry { host: index, units: 1.0, ..Entry::default() };
+                let known =
+                    Known { name: line.name.to_string(), address: None, entry, gone_at: None, line: None };
+                match self.hosts.get_mut(index) {
+                    Some(place) => *place = known,
+                    None => self.hosts.push(known),
+                }
+            }
+            let (entry, fault) = self.places.entry(&self.hosts[index].entry, line, &self.clock);
+            if let Some(what) = fault {
+                self.faults += 1;
+                log::warn!(host = &*line.name; "a host's line has {what}: taken as gone");
+            }
+            let address = line.address.parse().ok();
+            if let Some(address) = address {
+                // An address belongs to one host; the earlier one there is no more.
+                for (other, host) in self.hosts.iter_mut().enumerate() {
+                    if other != index && host.address == Some(address) {
+                        host.address = None;
+                    }
+                }
+            }
+            let host = &mut self.hosts[index];
+            host.address = address.or(host.address);
+            host.entry = entry;
+            host.gone_at = host.gone_at.or(Some(now)).filter(|_| entry.standing == Standing::Gone);
+            entries.push(entry);
+        }
+        self.told(now, |round| {
+            round.listed(if whole { ListKind::Whole } else { ListKind::Changes }, &entries);
+        });
+    }
+
+    fn told(&mut self, now: Duration, say: impl FnOnce(&mut myrtlegauge::decide::Round<'_, Bell>)) {
+        self.router.round(now, &mut self.bell, say);
+        if let Some(after) = self.bell.rings.take() {
+            self.wakes = now + after;
+        }
+    }
+
+    /// Takes a purge; one that names nothing, or whose time is no time, is counted and says nothing.
+    pub fn purged(&mut self, purge: &Purge<'_>, now: Duration) {
+        let object = purge.object.as_deref().and_then(|id| u64::from_str_radix(id, 16).ok());
+        let named = object.map(Purged::Object).or(purge.bucket.map(Purged::Group));
+        let Some(named) = named.filter(|_| purge.unix_ms.is_finite() && purge.unix_ms >= 0.0) else {
+            self.faults += 1;
+            return log::warn!("a purge names neither an object nor a group, or no time");
+        };
+        let at = purge.unix_ms as u64;
+        let known = self.purges.entry(named).or_insert(at);
+        *known = at.max(*known);
+        if self.purges.len() > PURGES_MOST {
+            let oldest = self.purges.iter().min_by_key(|(_, at)| **at).map(|(named, _)| *named);
+            oldest.map(|named| self.purges.remove(&named));
+        }
+        let age = now.saturating_sub(self.clock.span(purge.unix_ms));
+        self.told(now, |round| round.purged(named, age));
+    }
+
+    /// What proxies saw in an interval.
+    pub fn reported(&mut self, summary: &Summary, now: Duration) {
+        self.told(now, |round| {
+            for &(host, success) in &summary.outcomes {
+                round.reported(host, success);
+            }
+            for &(source, ds, all, bad, out) in &summary.fills {
+                round.filled(ds, source, all, bad, out);
+            }
+        });
+    }
+
+    /// The module's wake-up, where it is due; and hosts long gone give their index back.
+    pub fn tend(&mut self, now: Duration) {
+        if now >= self.wakes {
+            self.told(now, |round| round.woken());
+        }
+        for index in 0..self.hosts.len() {
+            let host = &mut self.hosts[index];
+            if !host.name.is_empty()
+                && host.gone_at.is_some_and(|at| now >= at + FORGET)
+                && host.line.is_none()
+            {
+                self.places.forget(std::mem::take(&mut host.name).as_bytes());
+            }
+        }
+    }
+
+    fn tier(&self, entry: &Entry) -> Option<Tier> {
+        if Some(entry.kind) == self.parent_kind {
+            Some(Tier::Parents)
+        } else if entry.kind == self.origin_kind {
+            Some(Tier::Origin)
+        } else {
+            (entry.zone == self.here).then_some(Tier::Caches)
+        }
+    }
+
+    /// Publishes what differs from what was published last. `proxies`: how many share the bounds on fills.
+    pub fn publish(&mut self, exchange: &mut Exchange, proxies: usize, now: Duration, unix_ms: u64) {
+        let reading = self.router.reading(now);
+        let mut shares: Vec<Option<Share>> = vec![None; self.hosts.len()];
+        for share in reading.caches.iter().chain(&reading.parents).chain(&reading.origin) {
+            shares[share.host] = Some(*share);
+        }
+        let (mut changed, mut ended) = ([false; 3], [false; 3]);
+        for index in 0..self.hosts.len() {
+            let line = self.line(index, shares[index], proxies);
+            let host = &mut self.hosts[index];
+            if line == host.line {
+                continue;
+            }
+            let before = std::mem::replace(&mut host.line, line);
+            for (old, new) in [(before.as_ref(), host.line.as_ref())] {
+                // A host that drains, is gone, or is another process at the same address, is urgent.
+                let life =
+                    |line: Option<&HostLine>| line.map(|line| (line.life, line.draining, line.address));
+                let urgent = old.is_some() && life(old) != life(new);
+                let (at, name) = match (old, new) {
+                    (_, Some(line)) | (Some(line), None) => (line.tier as usize, line.resource_name()),
+                    (None, None) => continue,
+                };
+                let moved = old.filter(|old| new.is_some_and(|new| new.tier != old.tier));
+                if let Some(old) = moved {
+                    (changed[old.tier as usize], ended[old.tier as usize]) = (true, true);
+                    exchange.put(Kind::Host, &old.resource_name(), None, true);
+                }
+                (changed[at], ended[at]) = (true, ended[at] | urgent);
+                exchange.put(Kind::Host, &name, new.map(host_resource), urgent);
+            }
+        }
+        self.publish_rest(exchange, &reading, changed, ended, unix_ms);
+    }
+
+    fn line(&self, index: HostIndex, share: Option<Share>, proxies: usize) -> Option<HostLine> {
+        let host = &self.hosts[index];
+        let (entry, address) = (&host.entry, host.address?);
+        let tier = self.tier(entry).filter(|_| entry.standing != Standing::Gone)?;
+        // One that drains keeps its points, so that proxies need not lay their rings anew at once.
+        let kept = host.line.as_ref().filter(|_| entry.standing == Standing::Draining);
+        let points = share.map(|share| share.points).or(kept.map(|line| line.points));
+        let fills = share.map_or(1.0, |share| (share.fills / proxies.max(1) as f64).ceil().max(1.0));
+        Some(HostLine {
+            name: host.name.clone(),
+            address,
+            tier,
+            life: self.clock.unix_ms(entry.started),
+            draining: entry.standing == Standing::Draining,
+            mark: entry.mark,
+            points: points.unwrap_or(0),
+            part: share.map_or(0.0, |share| share.part),
+            near: share.is_none_or(|share| share.near),
+            fills: fills as u32,
+        })
+    }
+
+    fn publish_rest(
+        &mut self,
+        exchange: &mut Exchange,
+        reading: &Reading,
+        changed: [bool; 3],
+        ended: [bool; 3],
+        unix_ms: u64,
+    ) {
+        for tier in TIERS.into_iter().filter(|&tier| changed[tier as usize] || !self.routed) {
+            let lines = self.hosts.iter().filter_map(|host| host.line.as_ref());
+            let mut lines: Vec<_> = lines.filter(|line| line.tier == tier).collect();
+            lines.sort_by(|a, b| a.name.cmp(&b.name));
+            let said: String = lines.iter().map(|line| line.canonical()).collect();
+            let body = messages::assignment_body(tier.name(), &lines);
+            let resource = resource(0, 0, &said, body, true);
+            exchange.put(Kind::Assignment, tier.name(), Some(resource), ended[tier as usize]);
+        }
+        if !std::mem::replace(&mut self.routed, true) {
+            for name in TIERS.map(Tier::name).into_iter().chain([BY_HOST]) {
+                let body = messages::cluster_body(name, CONNECT);
+                exchange.put(Kind::Cluster, name, Some(resource(0, 0, name, body, false)), false);
+            }
+            let body = messages::assignment_body(BY_HOST, &[]);
+            exchange.put(Kind::Assignment, BY_HOST, Some(resource(0, 0, BY_HOST, body, true)), false);
+            let lines = self.services.iter().zip(&reading.terms).map(|(service, terms)| RouteLine {
+                service: &service.name,
+                again: terms.again,
+                timeout: service.timeout,
+                forwards: reading.forwards,
+            });
+            let lines: Vec<_> = lines.collect();
+            let said: String = lines
+                .iter()
+                .map(|l| format!("{} {} {:?} {};", l.service, l.again, l.timeout, l.forwards))
+                .collect();
+            let body = messages::routes_body(&lines);
+            exchange.put(Kind::Route, ROUTES, Some(resource(0, 0, &said, body, false)), false);
+        }
+        for (ds, (service, terms)) in self.services.iter().zip(&reading.terms).enumerate() {
+            let line = TermsLine {
+                accepted_age: terms.accepted_age,
+                renew: terms.renew,
+                again: terms.again,
+                passed_on: service.passed_on,
+                spared: reading.spared,
+                forwards: reading.forwards,
+                timeout: service.timeout,
+            };
+            if self.terms[ds] != Some(line) {
+                self.terms[ds] = Some(line);
+                let name = format!("service/{}", service.name);
+                let put = resource(0, 0, &format!("{line:?}"), line.body(&name), false);
+                exchange.put(Kind::Notice, &name, Some(put), false);
+            }
+        }
+        let long = self.purged_within.as_millis() as u64;
+        let over = self.purges.extract_if(.., |_, at| unix_ms >= at.saturating_add(long));
+        for (named, _) in over.collect::<Vec<_>>() {
+            exchange.put(Kind::Notice, &purge_name(named), None, false);
+        }
+        for (&named, &at) in &self.purges {
+            let name = purge_name(named);
+            let known = exchange.shelf().get(Kind::Notice, &name);
+            if known.is_none_or(|known| known.version.life < at) {
+                let line = PurgeLine { at_unix_ms: at, until_unix_ms: at.saturating_add(long) };
+                let put = resource(at, 1, &format!("{line:?}"), line.body(&name), false);
+                exchange.put(Kind::Notice, &name, Some(put), true);
+            }
+        }
+    }
+
+    /// Hosts that the operator file names, as lines of a list.
+    pub fn listed_in_file(&mut self, hosts: &[myrtlegauge_operator::file::ListedHost], now: Duration) {
+        let lines: Vec<_> = hosts
+            .iter()
+            .map(|host| Endpoint {
+                name: Cow::Borrowed(&host.name),
+                address: Cow::Owned(host.address.to_string()),
+                zone: Cow::Borrowed(&host.zone),
+                kind: Cow::Borrowed(&host.kind),
+                group: Some(host.cell),
+                status: Cow::Borrowed(if host.draining { "leaving" } else { "active" }),
+                weight: Some(host.weight),
+                since_ms: Some(host.started_unix_ms),
+            })
+            .collect();
+        self.listed(&lines, true, now);
+    }
+}
+
+pub fn purge_name(named: Purged) -> String {
+    match named {
+        Purged::Object(object) => format!("purge/object/{object:016x}"),
+        Purged::Group(group) => format!("purge/group/{group}"),
+    }
+}
+
+/// What a purge's resource name names.
+pub fn purge_named(name: &str) -> Option<Purged> {
+    let rest = name.strip_prefix("purge/")?;
+    let object = rest.strip_prefix("object/").and_then(|id| u64::from_str_radix(id, 16).ok());
+    let group = rest.strip_prefix("group/").and_then(|id| id.parse().ok());
+    object.map(Purged::Object).or(group.map(Purged::Group))
+}
+
+fn resource(life: u64, step: u64, said: &str, body: Vec<u8>, leased: bool) -> Resource {
+    Resource { version: Version::of(life, step, said.as_bytes()), body: body.into(), leased }
+}
+
+fn host_resource(line: &HostLine) -> Resource {
+    use prost::Message;
+    resource(line.life, line.draining.into(), &line.canonical(), line.message().encode_to_vec(), false)
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions over xDS. A control service publishes what the decision module decides, and proxies that take GETs
+//! elsewhere follow it.
+//!
+//! Without I/O: `lease` (how long what was told holds), `shelf` (what is published), `exchange` (the state of all
+//! streams), `reports` (what proxies saw), `fleet` (the hosts, purges and the decision module), `messages` (the published
+//! messages), `follower` (the core of a proxy that follows).
+
+pub mod exchange;
+pub mod fleet;
+pub mod follower;
+pub mod lease;
+pub mod messages;
+pub mod reports;
+pub mod shelf;
--- /dev/null
+++ b/crates/control/src/reports.rs
@@ -0,0 +1,217 @@
+//! What proxies report of load and outcomes, and what is made of it: one outcome for each host and interval, and counts
+//! of fills, for the decision module. No I/O.
+//!
+//! A report is believed as far as one proxy can know: what it says of a host is one vote, however many GETs it names, so
+//! that one that lies or is itself cut off can't leave out a host that others reach. A report that can't be true is
+//! refused whole.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// GETs in one report of one host; a proxy that does more in an interval than a machine can is not believed.
+const GETS_MOST: u64 = 1_000_000;
+/// Part of the interval after which a further report of the same proxy counts: clocks are not even, but a repeat of
+/// what was sent before is no news.
+const TOO_SOON: f64 = 0.5;
+/// Proxies remembered; a crowd of made-up names must not fill the memory.
+const NODES_MOST: usize = 4096;
+
+/// What a proxy saw of one host in an interval.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostReport {
+    pub host: usize,
+    pub returned: u64,
+    pub errored: u64,
+    /// Fills asked of this host as a source, by delivery service: all, those late or failed, and those out now.
+    pub fills: Vec<Fills>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fills {
+    pub ds: usize,
+    pub all: u64,
+    /// As it is reported, a number of any kind.
+    pub bad: f64,
+    pub out: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disbelief {
+    /// A number that is negative, not a number, or beyond what a proxy can do.
+    Absurd,
+    /// Another report of this proxy came just before.
+    TooSoon,
+    /// More proxies than are remembered.
+    Crowd,
+}
+
+impl std::fmt::Display for Disbelief {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Disbelief::Absurd => "a number that can't be true",
+            Disbelief::TooSoon => "sooner than asked for",
+            Disbelief::Crowd => "of more proxies than are remembered",
+        })
+    }
+}
+
+/// What the interval came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Summary {
+    /// By host: a success or a failure, where most who spoke of it agree.
+    pub outcomes: Vec<(usize, bool)>,
+    /// By source and delivery service: all fills, bad ones, those out.
+    pub fills: Vec<(usize, usize, u32, u32, u32)>,
+}
+
+#[derive(Default)]
+pub struct Reports {
+    every: Duration,
+    /// When each proxy last reported.
+    last: BTreeMap<String, Duration>,
+    /// By host: those for which most GETs were returned, and the others.
+    votes: BTreeMap<usize, (u32, u32)>,
+    fills: BTreeMap<(usize, usize), (u64, u64, u64)>,
+    closes: Duration,
+    pub taken: u64,
+    pub disbelieved: u64,
+}
+
+impl Reports {
+    pub fn new(every: Duration, now: Duration) -> Self {
+        Self { every, closes: now + every, ..Self::default() }
+    }
+
+    pub fn every(&self) -> Duration {
+        self.every
+    }
+
+    /// Takes one proxy's report, of hosts that are known.
+    pub fn take(&mut self, node: &str, hosts: &[HostReport], now: Duration) -> Result<(), Disbelief> {
+        let checked = self.check(node, hosts, now);
+        if checked.is_err() {
+            self.disbelieved += 1;
+            return checked;
+        }
+        self.taken += 1;
+        self.last.insert(node.to_owned(), now);
+        for report in hosts {
+            let (good, bad) = self.votes.entry(report.host).or_default();
+            match report.errored * 2 > report.returned + report.errored {
+                _ if report.returned + report.errored == 0 => {}
+                true => *bad += 1,
+                false => *good += 1,
+            }
+            for fills in &report.fills {
+                let sum = self.fills.entry((report.host, fills.ds)).or_default();
+                sum.0 += fills.all;
+                sum.1 += fills.bad as u64;
+                sum.2 += fills.out;
+            }
+        }
+        Ok(())
+    }
+
+    fn check(&self, node: &str, hosts: &[HostReport], now: Duration) -> Result<(), Disbelief> {
+        let soon = self.last.get(node).is_some_and(|&at| now < at + self.every.mul_f64(TOO_SOON));
+        if soon {
+            return Err(Disbelief::TooSoon);
+        }
+        if self.last.len() >= NODES_MOST && !self.last.contains_key(node) {
+            return Err(Disbelief::Crowd);
+        }
+        let mut hosts_seen = std::collections::BTreeSet::new();
+        let sound = hosts.iter().all(|report| {
+            let gets = report.returned.saturating_add(report.errored);
+            let fills = report.fills.iter().all(|fills| {
+                let bad = fills.bad.is_finite() && fills.bad >= 0.0 && fills.bad <= fills.all as f64;
+                bad && fills.all <= GETS_MOST && fills.out <= GETS_MOST
+            });
+            gets <= GETS_MOST && fills && hosts_seen.insert(report.host)
+        });
+        if sound { Ok(()) } else { Err(Disbelief::Absurd) }
+    }
+
+    /// When the interval closes.
+    pub fn due(&self) -> Duration {
+        self.closes
+    }
+
+    /// Closes the interval, once it is over.
+    pub fn close(&mut self, now: Duration) -> Option<Summary> {
+        if now < self.closes {
+            return None;
+        }
+        self.closes = now + self.every;
+        // Who has not spoken for some intervals is forgotten.
+        let every = self.every;
+        self.last.retain(|_, at| now < *at + every * 8);
+        let votes = std::mem::take(&mut self.votes);
+        let fills = std::mem::take(&mut self.fills);
+        let count = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
+        Some(Summary {
+            outcomes: votes
+                .into_iter()
+                .filter(|(_, (good, bad))| good + bad > 0)
+                .map(|(host, (good, bad))| (host, bad <= good))
+                .collect(),
+            fills: fills
+                .into_iter()
+                .map(|((source, ds), (all, bad, out))| (source, ds, count(all), count(bad), count(out)))
+                .collect(),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(host: usize, returned: u64, errored: u64) -> HostReport {
+        HostReport { host, returned, errored, fills: Vec::new() }
+    }
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn one_proxy_is_one_vote_however_much_it_says() {
+        let mut reports = Reports::new(ms(500), ms(0));
+        reports.take("liar", &[report(0, 0, 900_000)], ms(1)).unwrap();
+        reports.take("a", &[report(0, 3, 0)], ms(1)).unwrap();
+        reports.take("b", &[report(0, 3, 1)], ms(1)).unwrap();
+        assert_eq!(reports.close(ms(499)), None);
+        assert_eq!(reports.close(ms(500)).unwrap().outcomes, [(0, true)]);
+        // Again at once, and many times: nothing more.
+        assert_eq!(reports.take("liar", &[report(0, 0, 1)], ms(200)), Err(Disbelief::TooSoon));
+        assert_eq!(reports.close(ms(1000)).unwrap().outcomes, []);
+    }
+
+    #[test]
+    fn what_can_not_be_true_is_refused_whole() {
+        let mut reports = Reports::new(ms(500), ms(0));
+        let fills =
+            |all, bad| HostReport { fills: vec![Fills { ds: 0, all, bad, out: 0 }], ..report(1, 5, 5) };
+        for absurd in
+            [fills(3, f64::NAN), fills(3, -1.0), fills(3, 4.0), fills(u64::MAX, 0.0), report(1, u64::MAX, 9)]
+        {
+            assert_eq!(reports.take("a", &[report(0, 0, 9), absurd], ms(1)), Err(Disbelief::Absurd));
+        }
+        let twice = [report(0, 0, 9), report(0, 0, 9)];
+        assert_eq!(reports.take("a", &twice, ms(1)), Err(Disbelief::Absurd));
+        assert_eq!(reports.close(ms(600)).unwrap(), Summary::default());
+        assert_eq!((reports.taken, reports.disbelieved), (0, 6));
+    }
+
+    #[test]
+    fn made_up_names_are_bounded() {
+        let mut reports = Reports::new(ms(500), ms(0));
+        for n in 0..NODES_MOST {
+            reports.take(&format!("n{n}"), &[], ms(1)).unwrap();
+        }
+        assert_eq!(reports.take("one more", &[], ms(1)), Err(Disbelief::Crowd));
+        reports.close(ms(9000));
+        reports.take("one more", &[], ms(9001)).unwrap();
+    }
+}
--- a/crates/wire/src/clock.rs
+++ b/crates/wire/src/clock.rs
@@ -26,4 +26,9 @@
     pub fn span(&self, unix_ms: f64) -> Duration {
         span(unix_ms).saturating_sub(self.epoch)
     }
+
+    /// The other way round; zero for what lay before the epoch.
+    pub fn unix_ms(&self, span: Duration) -> u64 {
+        if span.is_zero() { 0 } else { (span + self.epoch).as_millis() as u64 }
+    }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,6 +14,7 @@
 
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
+use crate::reading::{self, Reading, Share, Terms};
 use crate::ring::{Memory, Ring, Window, marked, mix};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
 use slab::Slab;
@@ -264,6 +265,41 @@
         }
     }
 
+    /// The design's growth: while busy the accepted age doubles at each miss.
+    fn missed(&mut self, ds: usize, misses: u32) {
+        self.busy = self.counts_busy();
+        let (service, learnt) = (&self.services[ds], &mut self.learnt[ds]);
+        for _ in 0..if self.busy { misses.min(u64::BITS) } else { 0 } {
+            learnt.accepted_age = (learnt.accepted_age * 2).min(service.fresh + service.grace);
+        }
+    }
+
+    /// What this router decides now of hosts and services, for those who take GETs elsewhere. A failed host's trial
+    /// is the part of its keys that a host gets which has just started: a follower can't send just one GET.
+    pub fn reading(&self, now: Duration) -> Reading {
+        let share = |(host, points): (HostIndex, u64)| {
+            let h = &self.hosts[host];
+            let (near, parental) = (self.near(&h.entry), self.parental(&h.entry));
+            let warmth = if h.failed() { Some(self.start(&h.entry).from) } else { self.warmth(host, now) };
+            let takes = h.usable(now) && (warmth.is_none() || near || !parental);
+            let part = if takes { warmth.unwrap_or(1.0) } else { 0.0 };
+            Share { host, mark: h.entry.mark, points, part, near: near || !parental, fills: h.fill_limit }
+        };
+        let terms = self.services.iter().zip(&self.learnt).map(|(ds, learnt)| Terms {
+            accepted_age: if ds.write { ZERO } else { learnt.accepted_age },
+            renew: !self.busy && !ds.write,
+            again: ds.idempotent,
+        });
+        Reading {
+            terms: terms.collect(),
+            caches: self.caches.parts().map(share).collect(),
+            parents: self.parents.parts().map(share).collect(),
+            origin: self.origin.map(|host| share((host, 0))),
+            spared: self.busy && self.site.notes,
+            forwards: self.site.most_forwards.min(MOST_FORWARDS),
+        }
+    }
+
     /// Lays a ring of the hosts that are on, points by weight.
     fn ring(&self, holds: impl Fn(&Self, &Entry) -> bool) -> Ring {
         let (mut ring, hosts) = (Ring::default(), &self.hosts);
@@ -293,7 +329,7 @@
         let since = entry.started.max(*cold_since);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
-        cold.then_some(start.from + (1.0 - start.from) * age)
+        cold.then_some(reading::stepped(start.from + (1.0 - start.from) * age))
     }
 
     /// Cold-start budget, also of a host lost and found again: a fixed part of the keys, the same at every
@@ -303,8 +339,8 @@
         let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
-        let (start, part) = (self.start(entry), mix(key ^ entry.mark) as f64 / u64::MAX as f64);
-        if self.parental(entry) && !self.near(entry) || part > warmth {
+        let start = self.start(entry);
+        if self.parental(entry) && !self.near(entry) || !reading::in_part(key, entry.mark, warmth) {
             return false;
         }
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
@@ -334,12 +370,9 @@
         named.iter().filter_map(|named| self.purges.get(named)).max().copied()
     }
 
-    /// The oldest copy that will do: the accepted age, never past a purge, nor then zero (that is any age).
+    /// The oldest copy that will do.
     fn oldest(&self, get: &Get, now: Duration) -> Duration {
-        let accepted = self.learnt[get.ds].accepted_age;
-        let Some(at) = self.purged_at(get) else { return accepted };
-        let limit = now.saturating_sub(at + self.site.tick).max(Duration::from_micros(10));
-        if accepted == ZERO { limit } else { limit.min(accepted) }
+        reading::oldest(self.learnt[get.ds].accepted_age, self.purged_at(get), now, self.site.tick)
     }
 
     /// Times its sending time that a GET takes at a cache.
@@ -440,7 +473,7 @@
         let place = r.gets.insert(InHand {
             get,
             taken: self.now,
-            key: mix(object ^ mix(u64::from(get.part) + 1)),
+            key: reading::key(get.object, get.part),
             sending,
             ..InHand::default()
         });
@@ -546,8 +579,7 @@
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
         let Some(g) = self.r.gets.get_mut(place) else { return };
         let Some(sent) = g.out.take_if(|s| s.hop == o.hop) else { return };
-        let proven = matches!(o.end, End::Full | End::NoConnection | End::NeverSent | End::Miss);
-        if !proven && o.end != End::Returned && g.may_have_run.is_none() {
+        if !o.end.proven() && o.end != End::Returned && g.may_have_run.is_none() {
             g.may_have_run = Some((sent.to.host, sent.at));
         }
         g.answered |= o.closed;
@@ -646,13 +678,28 @@
         let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.to.source) == r.origin;
         let from_origin = if r.site.notes { by_origin } else { filled };
         if from_origin || bad {
-            r.fills.count(bad);
+            r.fills.count(1, u32::from(bad));
         }
-        r.busy = r.counts_busy();
-        if !hit && r.busy {
-            let (ds, learnt) = (&r.services[get.ds], &mut r.learnt[get.ds]);
-            learnt.accepted_age = (learnt.accepted_age * 2).min(ds.fresh + ds.grace);
+        r.missed(get.ds, u32::from(!hit));
+    }
+
+    /// What followers saw of a host, as one outcome; of it no more than its own last few count.
+    pub fn reported(&mut self, host: HostIndex, success: bool) {
+        if let Some(h) = self.r.hosts.get_mut(host) {
+            h.judge(self.now, success);
+        }
+    }
+
+    /// What followers told of a service's fills from one source: all, the late or failed among them, and those out.
+    pub fn filled(&mut self, ds: usize, source: HostIndex, all: u32, bad: u32, out: u32) {
+        let r = &mut *self.r;
+        let Some(h) = r.hosts.get_mut(source).filter(|_| ds < r.services.len()) else { return };
+        h.fills_out = f64::from(out);
+        if all > 0 {
+            h.bound_fills(bad * 2 <= all, self.now);
         }
+        r.fills.count(if Some(source) == r.origin { all } else { bad }, bad);
+        r.missed(ds, all);
     }
 
     pub fn listed<'e>(&mut self, kind: ListKind, entries: impl IntoIterator<Item = &'e Entry>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,13 @@
     Spoilt,
 }
 
+impl End {
+    /// It proves that the forward never ran.
+    pub fn proven(self) -> bool {
+        matches!(self, End::Full | End::NoConnection | End::NeverSent | End::Miss)
+    }
+}
+
 /// What the answer says of the copy or of the fill.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Note {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod decide;
 mod footprint;
 pub mod interface;
+pub mod reading;
 mod ring;
 mod state;
 pub mod values;
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -22,7 +22,8 @@
 #[derive(Default)]
 pub struct Ring {
     points: Vec<(u64, usize)>,
-    members: Vec<HostIndex>,
+    /// Each with its number of points.
+    members: Vec<(HostIndex, u64)>,
 }
 
 impl Ring {
@@ -32,13 +33,18 @@
         self.members.clear();
         for (host, mark, points) in members {
             let member = self.members.len();
-            self.members.push(host);
+            self.members.push((host, points));
             self.points.extend((0..points).map(|i| (mix(mark ^ mix(i)), member)));
         }
         self.points.sort_unstable();
     }
 
     pub fn members(&self) -> impl Iterator<Item = HostIndex> {
+        self.members.iter().map(|&(host, _)| host)
+    }
+
+    /// The members with how many points each has.
+    pub fn parts(&self) -> impl Iterator<Item = (HostIndex, u64)> {
         self.members.iter().copied()
     }
 
@@ -50,7 +56,7 @@
             let bit = if member < MEMBERS { 1 << member } else { 0 };
             let new = met & bit == 0;
             met |= bit;
-            new.then(|| self.members[member])
+            new.then(|| self.members[member].0)
         })
     }
 }
@@ -75,14 +81,16 @@
         self.slot = slot;
     }
 
-    pub fn count(&mut self, marked: bool) {
+    pub fn count(&mut self, counted: u32, marked: u32) {
         let (all, with) = &mut self.slots[self.slot % SLOTS];
-        (*all, *with) = (*all + 1, *with + u32::from(marked));
+        (*all, *with) = (all.saturating_add(counted), with.saturating_add(marked));
     }
 
     /// All that was counted, and how much of it was marked.
     pub fn sums(&self) -> (u32, u32) {
-        self.slots.iter().fold((0, 0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1))
+        self.slots
+            .iter()
+            .fold((0, 0), |sum, slot| (slot.0.saturating_add(sum.0), slot.1.saturating_add(sum.1)))
     }
 }
 
