myrtlegauge control and status: the published gRPC services around the control service's core

Proxies need streams, load reports and a place to ask who follows what.

tonic serves aggregated discovery in both forms, load reporting and client status on tokio on a thread of its own; the loop (calloop) has the change log, signals and all decisions. The step from one event of the change log to the next moved to the poll, which both programs share; a change log that began anew is asked for all.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,7 +1,9 @@
 //! The command line.
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use myrtlegauge_operator::logs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// A traffic router for a two-tier cache.
@@ -19,8 +21,43 @@
     pub command: Command,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+pub enum LogForm {
+    Text,
+    Json,
+}
+
+impl From<LogForm> for logs::Form {
+    fn from(form: LogForm) -> Self {
+        match form {
+            LogForm::Text => Self::Text,
+            LogForm::Json => Self::Json,
+        }
+    }
+}
+
 #[derive(Subcommand)]
 pub enum Command {
+    /// Run the control service: the decision module's choices for other proxies, over xDS.
+    ///
+    /// SIGTERM ends it, SIGHUP reads the hosts of FILE again, SIGUSR1 logs its counters. Proxies whose lease is not
+    /// renewed shed by themselves once it is over.
+    Control {
+        /// The operator file.
+        file: PathBuf,
+        /// How log records are written, whatever the file says.
+        #[arg(long)]
+        log_form: Option<LogForm>,
+    },
+    /// Show the proxies of a running control service: what each accepted, refused and why, its lag and its lease.
+    Status {
+        /// Where the service listens.
+        #[arg(default_value = "127.0.0.1:18000")]
+        address: SocketAddr,
+        /// Milliseconds to wait for the answer.
+        #[arg(long, default_value_t = 2000)]
+        patience_ms: u64,
+    },
     /// Check a whole operator file; every fault is told as FILE:LINE:COLUMN, exit code 2 if there is one.
     Check {
         #[arg(required_unless_present = "explain")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,9 +4,11 @@
 
 use arguments::{Arguments, Command};
 use clap::{CommandFactory, Parser};
+use myrtlegauge_control::shown;
 use myrtlegauge_operator as operator;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// What scripts go by.
 const UNUSABLE: u8 = 2;
@@ -17,6 +19,15 @@
         return ended(myrtlegauge_dispatcher::program::run());
     }
     match Arguments::parse().command {
+        Command::Control { file, log_form } => {
+            let Ok(told) = read(&file) else { return ExitCode::from(UNUSABLE) };
+            operator::logs::start(log_form.map_or(told.log_form, Into::into), told.log_level);
+            ended(myrtlegauge_control::service::run(file, &told))
+        }
+        Command::Status { address, patience_ms } => {
+            let status = shown::ask(address, Duration::from_millis(patience_ms));
+            ended(status.map(|status| print!("{}", shown::print(&status))))
+        }
         Command::Check { explain: true, .. } => {
             let mut text = String::new();
             operator::form::explain(&operator::file::FILE, 0, &mut text);
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -359,6 +359,11 @@
         [beat, pace].into_iter().flatten().min().unwrap_or(now + self.lease.every).max(now)
     }
 
+    /// Nothing is owed to a stream.
+    pub fn is_quiet(&self, id: StreamId) -> bool {
+        self.streams.get(id).is_none_or(|stream| stream.topics.iter().all(Topic::quiet))
+    }
+
     pub fn streams(&self) -> impl Iterator<Item = StreamId> {
         self.streams.iter().map(|(id, _)| id)
     }
@@ -480,7 +485,10 @@
     owed.retain(|name| wants(name));
     urgent.retain(|name| wants(name));
     let new: Vec<_> = shelf.all(kind).filter(|(name, _)| topic.wants(name)).collect();
-    if first && !request.version.is_empty() && request.version == whole_version(&new) {
+    if first
+        && !request.version.is_empty()
+        && request.version == whole_version(new.iter().map(|(name, r)| (*name, &r.version)))
+    {
         // It has all this from an earlier stream: nothing differs.
         topic.held = new.iter().map(|(name, resource)| (Rc::clone(name), resource.version)).collect();
         topic.reply = false;
@@ -569,10 +577,10 @@
 }
 
 /// Says which resources in which versions, whoever makes it.
-fn whole_version(wanted: &[(&Rc<str>, &Resource)]) -> String {
+fn whole_version<'a>(held: impl Iterator<Item = (&'a Rc<str>, &'a Version)>) -> String {
     let mut said = String::new();
-    for (name, resource) in wanted {
-        said.push_str(&format!("{name}={};", resource.version));
+    for (name, version) in held {
+        said.push_str(&format!("{name}={version};"));
     }
     format!("{:016x}", twox_hash::XxHash64::oneshot(0, said.as_bytes()))
 }
@@ -645,9 +653,9 @@
     }
     let waits = if from_urgent { &mut topic.urgent } else { &mut topic.owed };
     waits.retain(|name| !done.contains(name));
-    let wanted: Vec<_> = shelf.all(kind).filter(|(name, _)| topic.wants(name)).collect();
-    if form == Form::Whole && kind.whole() && !(done.is_empty() && !topic.reply) {
+    if form == Form::Whole && kind.whole() && (topic.reply || !done.is_empty()) {
         // What such an answer leaves out is gone, so it holds all.
+        let wanted: Vec<_> = shelf.all(kind).filter(|(name, _)| topic.wants(name)).collect();
         resources = wanted.iter().map(|(name, resource)| sent(name, resource, lease)).collect();
         topic.held = wanted.iter().map(|(name, resource)| (Rc::clone(name), resource.version)).collect();
         topic.owed.clear();
@@ -657,7 +665,8 @@
     if resources.is_empty() && removed.is_empty() && !replies {
         return None;
     }
-    let version = if form == Form::Whole { whole_version(&wanted) } else { String::new() };
+    // Says what the proxy has with this, not all there is: more may follow.
+    let version = if form == Form::Whole { whole_version(topic.held.iter()) } else { String::new() };
     Some(Message { kind, lane, version, resources, removed, nonce: String::new() })
 }
 
@@ -696,13 +705,7 @@
     if resources.is_empty() {
         return None;
     }
-    let version = match stream.form {
-        Form::Whole => {
-            let all = shelf.all(Kind::Assignment).filter(|(name, _)| topic.wants(name));
-            whole_version(&all.collect::<Vec<_>>())
-        }
-        Form::Delta => String::new(),
-    };
+    let version = if stream.form == Form::Whole { whole_version(topic.held.iter()) } else { String::new() };
     let kind = Kind::Assignment;
     Some(Message { kind, lane: Lane::Beat, version, resources, removed: Vec::new(), nonce: String::new() })
 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -15,7 +15,7 @@
 use myrtlegauge_wire::places::Places;
 use myrtlegauge_wire::protocol::changelog::{Endpoint, Purge};
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -72,6 +72,7 @@
     places: Places,
     clock: Clock,
     hosts: Vec<Known>,
+    by_address: HashMap<SocketAddr, HostIndex>,
     /// By what it names, when it was purged, Unix milliseconds.
     purges: BTreeMap<Purged, u64>,
     services: Vec<Service>,
@@ -107,6 +108,7 @@
             places: Places::new(facts)?,
             clock,
             hosts: Vec::new(),
+            by_address: HashMap::new(),
             purges: BTreeMap::new(),
             terms: vec![None; services.len()],
             services,
@@ -151,7 +153,7 @@
 
     /// The host that listens at an address now.
     pub fn at(&self, address: SocketAddr) -> Option<HostIndex> {
-        self.hosts.iter().position(|host| host.address == Some(address) && host.gone_at.is_none())
+        self.by_address.get(&address).copied().filter(|&host| self.hosts[host].gone_at.is_none())
     }
 
     pub fn service(&self, name: &str) -> Option<usize> {
@@ -189,13 +191,14 @@
             let address = line.address.parse().ok();
             if let Some(address) = address {
                 // An address belongs to one host; the earlier one there is no more.
-                for (other, host) in self.hosts.iter_mut().enumerate() {
-                    if other != index && host.address == Some(address) {
-                        host.address = None;
-                    }
+                if let Some(other) = self.by_address.insert(address, index).filter(|&other| other != index) {
+                    self.hosts[other].address = None;
                 }
             }
             let host = &mut self.hosts[index];
+            if let Some(left) = host.address.filter(|&left| address.is_some_and(|now| now != left)) {
+                self.by_address.remove(&left);
+            }
             host.address = address.or(host.address);
             host.entry = entry;
             host.gone_at = host.gone_at.or(Some(now)).filter(|_| entry.standing == Standing::Gone);
@@ -256,6 +259,9 @@
                 && host.line.is_none()
             {
                 self.places.forget(std::mem::take(&mut host.name).as_bytes());
+                if let Some(address) = host.address.take() {
+                    self.by_address.remove(&address);
+                }
             }
         }
     }
@@ -278,8 +284,8 @@
             shares[share.host] = Some(*share);
         }
         let (mut changed, mut ended) = ([false; 3], [false; 3]);
-        for index in 0..self.hosts.len() {
-            let line = self.line(index, shares[index], proxies);
+        for (index, &share) in shares.iter().enumerate() {
+            let line = self.line(index, share, proxies);
             let host = &mut self.hosts[index];
             if line == host.line {
                 continue;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,12 +3,17 @@
 //!
 //! Without I/O: `lease` (how long what was told holds), `shelf` (what is published), `exchange` (the state of all
 //! streams), `reports` (what proxies saw), `fleet` (the hosts, purges and the decision module), `messages` (the published
-//! messages), `follower` (the core of a proxy that follows).
+//! messages), `follower` (the core of a proxy that follows). With it: `service` (the loop), `grpc` (the published
+//! services, on tokio on a thread of its own), `shown` (what operators are shown).
 
 pub mod exchange;
 pub mod fleet;
 pub mod follower;
+mod grpc;
+pub mod inbound;
 pub mod lease;
 pub mod messages;
 pub mod reports;
+pub mod service;
 pub mod shelf;
+pub mod shown;
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,430 @@
+//! The control service's loop: the change log, signals and what gRPC heard come in; what the exchange has goes out.
+
+use crate::exchange::{Exchange, LANES, Lane, Refusal, StreamId};
+use crate::fleet::Fleet;
+use crate::grpc::{self, Heard, Out, ROOM, Ticket};
+use crate::lease::Lease;
+use crate::reports::{Fills, HostReport, Reports};
+use crate::{messages, shown};
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, LoopHandle, channel};
+use envoy_types::pb::envoy::service::load_stats::v3::LoadStatsRequest;
+use myrtlegauge_operator::OperatorFile;
+use myrtlegauge_wire::clock::Clock;
+use myrtlegauge_wire::feed::{Feed, Step};
+use myrtlegauge_wire::protocol::Fault;
+use myrtlegauge_wire::protocol::changelog::Changes;
+use myrtlegauge_wire::transport::{Accounts, Owner};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tonic::Status;
+
+/// How often what changes by itself (warmth, the flag, the end of a purge) is published.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// While a proxy's room is taken, how soon it is looked at again.
+const BLOCKED: Duration = Duration::from_millis(2);
+/// A buffer that the poll reads by way of.
+const SHARED: usize = 64 * 1024;
+/// Messages of one stream in one turn, so that one with much to get keeps none waiting.
+const TURN_MOST: usize = 4;
+/// Lines on what proxies do wrong, in so long.
+const LOG_EVERY: Duration = Duration::from_millis(1000);
+
+/// What stirs in the loop besides signals and gRPC.
+#[derive(Clone, Copy)]
+pub struct ChangeLog;
+
+struct Port {
+    stream: StreamId,
+    out: Out,
+}
+
+/// What is counted, for operators.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    pub opened: u64,
+    pub closed: u64,
+    pub turned_away: u64,
+    pub requests: u64,
+    pub events: u64,
+    pub polls_lost: u64,
+    pub logs_anew: u64,
+    pub pushes: [u64; LANES.len()],
+    pub turns: u64,
+    pub turn_longest_us: u64,
+}
+
+pub struct Service {
+    name: String,
+    fleet: Fleet,
+    exchange: Exchange,
+    reports: Reports,
+    feed: Option<Feed<Service>>,
+    feed_stirred: bool,
+    hub: LoopHandle<'static, Self>,
+    accounts: Rc<Accounts>,
+    shared: Vec<u8>,
+    heard: Vec<Heard>,
+    ports: BTreeMap<Ticket, Port>,
+    now: Duration,
+    look_at: Duration,
+    blocked: bool,
+    changed: bool,
+    log_at: Duration,
+    unsaid: u64,
+    pub counters: Counters,
+    done: bool,
+}
+
+impl Owner for Service {
+    type Key = ChangeLog;
+
+    fn stirred(&mut self, _: ChangeLog) {
+        self.feed_stirred = true;
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Runs a control service until it is told to end.
+pub fn run(path: PathBuf, file: &OperatorFile) -> Result<(), String> {
+    let mut turns = EventLoop::<Service>::try_new().map_err(|e| format!("no event loop: {e}"))?;
+    let listener = TcpListener::bind(file.control.listen)
+        .map_err(|e| format!("can't listen on {}: {e}", file.control.listen))?;
+    let address = listener.local_addr().map_err(|e| format!("the listener has no address: {e}"))?;
+    let (hears, heard) = channel::channel();
+    let into = turns.handle().insert_source(heard, |event, _, service| {
+        if let channel::Event::Msg(heard) = event {
+            service.heard.push(heard);
+        }
+    });
+    into.map_err(|e| format!("gRPC can't be heard: {e}"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
+        .map_err(|e| format!("signals can't be watched: {e}"))?;
+    let watched = turns.handle().insert_source(signals, move |signal, _, service| match signal.signal() {
+        Signal::SIGUSR1 => service.report(),
+        Signal::SIGHUP => service.reread(&path),
+        _ => service.done = true,
+    });
+    watched.map_err(|e| format!("signals can't be watched: {e}"))?;
+    let mut service = Service::new(turns.handle(), file)?;
+    grpc::serve(listener, hears, file.control.reports_every)?;
+    log::info!(address:%; "{} gives decisions", service.name);
+    while !service.done {
+        turns.dispatch(service.patience(), &mut service).map_err(|e| format!("the event loop: {e}"))?;
+        service.turn();
+    }
+    service.report();
+    Ok(())
+}
+
+impl Service {
+    fn new(hub: LoopHandle<'static, Self>, file: &OperatorFile) -> Result<Self, String> {
+        let control = &file.control;
+        let clock = Clock::start();
+        let now = clock.now();
+        let lease = Lease::of(control.drain_grace, control.purge_grace, control.clock_error);
+        let mut service = Self {
+            name: control.name.clone(),
+            fleet: Fleet::new(&file.facts, fastrand::u64(..), clock)?,
+            exchange: Exchange::new(lease, control.most_proxies),
+            reports: Reports::new(control.reports_every, now),
+            feed: control.change_log.map(|address| Feed::new(address, ChangeLog)),
+            feed_stirred: false,
+            hub,
+            accounts: Rc::new(Accounts::default()),
+            shared: vec![0; SHARED],
+            heard: Vec::new(),
+            ports: BTreeMap::new(),
+            now,
+            look_at: now,
+            blocked: false,
+            changed: true,
+            log_at: now,
+            unsaid: 0,
+            counters: Counters::default(),
+            done: false,
+        };
+        if service.feed.is_none() {
+            service.fleet.listed_in_file(&file.hosts, now);
+            service.exchange.begin();
+        }
+        Ok(service)
+    }
+
+    /// Follows the hosts that the file names now; all else stays as it was.
+    fn reread(&mut self, path: &std::path::Path) {
+        let told = std::fs::read_to_string(path).map_err(|e| e.to_string());
+        let told = told.and_then(|text| {
+            let all = |faults: Vec<myrtlegauge_operator::Fault>| {
+                faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+            };
+            myrtlegauge_operator::read(&text).map_err(all)
+        });
+        match told {
+            Err(fault) => log::error!("not read anew, what was known stays: {fault}"),
+            Ok(_) if self.feed.is_some() => {
+                log::info!("read anew: hosts are told by the change log, nothing to do")
+            }
+            Ok(file) => {
+                log::info!(hosts = file.hosts.len(); "read anew");
+                self.now = self.fleet.clock().now();
+                self.fleet.listed_in_file(&file.hosts, self.now);
+                self.changed = true;
+            }
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        let feed = self.feed.as_ref().map_or(Duration::MAX, |feed| feed.due);
+        let mut due = self.look_at.min(self.exchange.due(self.now)).min(self.reports.due()).min(feed);
+        if self.blocked {
+            due = due.min(self.now + BLOCKED);
+        }
+        let quiet = self.heard.is_empty() && !self.feed_stirred;
+        if quiet { due.saturating_sub(self.fleet.clock().now()) } else { Duration::ZERO }
+    }
+
+    /// All that came since the last turn, and all that may go out.
+    fn turn(&mut self) {
+        self.now = self.fleet.clock().now();
+        let began = self.now;
+        self.follow();
+        for heard in std::mem::take(&mut self.heard) {
+            self.hear(heard);
+        }
+        if let Some(summary) = self.reports.close(self.now) {
+            self.fleet.reported(&summary, self.now);
+            self.changed |= !summary.outcomes.is_empty() || !summary.fills.is_empty();
+        }
+        if self.now >= self.look_at {
+            self.fleet.tend(self.now);
+            (self.look_at, self.changed) = (self.now + LOOK_EVERY, true);
+        }
+        if std::mem::take(&mut self.changed) {
+            self.fleet.publish(&mut self.exchange, self.ports.len(), self.now, unix_ms());
+        }
+        let stuck = self.exchange.turn(self.now);
+        self.end(&stuck, &Refusal::Stuck);
+        self.push();
+        self.counters.turns += 1;
+        let took = self.fleet.clock().now().saturating_sub(began).as_micros() as u64;
+        self.counters.turn_longest_us = self.counters.turn_longest_us.max(took);
+    }
+
+    /// The change log's answers.
+    fn follow(&mut self) {
+        let Some(mut feed) = self.feed.take() else { return };
+        self.counters.polls_lost += u64::from(feed.tend(&self.hub, &self.accounts, self.now));
+        let mut more = std::mem::take(&mut self.feed_stirred);
+        while more {
+            more = feed.stir(&mut self.shared);
+            loop {
+                match feed.next(self.now) {
+                    Ok(Some(body)) => self.polled(&mut feed, &body),
+                    Ok(None) => break,
+                    Err(Fault(what)) => {
+                        self.counters.polls_lost += 1;
+                        self.fault(what);
+                        feed.lose(self.now);
+                        break;
+                    }
+                }
+            }
+        }
+        self.counters.polls_lost += u64::from(feed.tend(&self.hub, &self.accounts, self.now));
+        self.feed = Some(feed);
+    }
+
+    fn polled(&mut self, feed: &mut Feed<Self>, body: &[u8]) {
+        let changes: Changes<'_> = match serde_json::from_slice(body) {
+            Ok(changes) => changes,
+            Err(e) => {
+                self.counters.polls_lost += 1;
+                self.fault(&format!("an answer of the change log can't be read: {e}"));
+                return feed.lose(self.now);
+            }
+        };
+        if feed.began_anew(changes.last, self.now) {
+            self.counters.logs_anew += 1;
+            return log::warn!(last = changes.last; "the change log began anew: asked for all");
+        }
+        let before = feed.last;
+        for change in &changes.results {
+            match feed.step(change.number, self.now) {
+                Step::Known => continue,
+                Step::Missing(last) => {
+                    return self.fault(&format!("the change log went from {last} to {}", change.number));
+                }
+                Step::Beyond(last) => {
+                    self.fault(&format!("the change log went from {last} to {}", change.number));
+                }
+                Step::Next => {}
+            }
+            self.counters.events += 1;
+            self.changed = true;
+            if let Some(fleet) = &change.fleet {
+                self.fleet.listed(&fleet.endpoints, fleet.snapshot, self.now);
+                // Nothing is said before the first whole list: it would be taken for all there is.
+                if fleet.snapshot {
+                    self.exchange.begin();
+                }
+            }
+            if let Some(purge) = &change.invalidate {
+                self.fleet.purged(purge, self.now);
+            }
+        }
+        if feed.last == before {
+            feed.brought_nothing(self.now);
+        }
+    }
+
+    fn hear(&mut self, heard: Heard) {
+        match heard {
+            Heard::Opened { ticket, peer, out } => match self.exchange.open(out.form(), &peer, self.now) {
+                Ok(stream) => {
+                    self.counters.opened += 1;
+                    log::debug!(peer, form:? = out.form(); "a proxy's stream begins");
+                    self.ports.insert(ticket, Port { stream, out });
+                }
+                Err(refusal) => {
+                    self.counters.turned_away += 1;
+                    self.fault(&refusal.to_string());
+                    out.end(Status::resource_exhausted(refusal.to_string()));
+                }
+            },
+            Heard::Asked { ticket, node, request, permit } => {
+                let Some(port) = self.ports.get(&ticket) else { return };
+                self.counters.requests += 1;
+                let stream = port.stream;
+                if !node.is_empty() {
+                    self.exchange.named(stream, &node);
+                }
+                if let Some(why) = &request.error {
+                    self.fault(&format!("a proxy refuses what it was sent of {}: {why}", request.url));
+                }
+                if let Err(refusal) = self.exchange.heard(stream, &request, self.now) {
+                    self.end(&[stream], &refusal);
+                }
+                drop(permit);
+            }
+            Heard::Closed { ticket } => {
+                if let Some(port) = self.ports.remove(&ticket) {
+                    self.counters.closed += 1;
+                    self.exchange.close(port.stream);
+                }
+            }
+            Heard::Reported { report, permit } => {
+                self.reported(&report);
+                drop(permit);
+            }
+            Heard::Shown { reply } => {
+                let _ = reply.send(shown::status(&self.exchange, self.now));
+            }
+        }
+    }
+
+    /// Ends streams for a reason that their proxies are told.
+    fn end(&mut self, streams: &[StreamId], why: &Refusal) {
+        let ended: BTreeSet<_> = streams.iter().collect();
+        let over: Vec<_> = self.ports.extract_if(.., |_, port| ended.contains(&port.stream)).collect();
+        for (_, port) in over {
+            self.counters.closed += 1;
+            self.fault(&why.to_string());
+            port.out.end(Status::resource_exhausted(why.to_string()));
+            self.exchange.close(port.stream);
+        }
+    }
+
+    /// What is most pressing first, over all proxies; a proxy without room keeps none of the others waiting.
+    fn push(&mut self) {
+        self.blocked = false;
+        let unix_ms = unix_ms();
+        for (lane, pushed) in LANES.into_iter().zip(&mut self.counters.pushes) {
+            // What is handed over can't be overtaken: little that is ordinary, and some room for what is urgent.
+            let wanted = match lane {
+                Lane::Urgent => 1,
+                Lane::Beat => 2,
+                Lane::Ordinary => ROOM,
+            };
+            for port in self.ports.values() {
+                for _ in 0..TURN_MOST {
+                    if port.out.room() < wanted {
+                        self.blocked |= lane == Lane::Urgent || !self.exchange.is_quiet(port.stream);
+                        break;
+                    }
+                    let Some(message) = self.exchange.next(port.stream, lane, self.now, unix_ms) else {
+                        break;
+                    };
+                    port.out.send(message, &self.name);
+                    *pushed += 1;
+                }
+            }
+        }
+    }
+
+    /// A report as the module beside the decision module takes it.
+    fn reported(&mut self, told: &LoadStatsRequest) {
+        let node = told.node.as_ref().map(|node| node.id.as_str()).unwrap_or_default();
+        let localities = told.cluster_stats.iter().flat_map(|cluster| &cluster.upstream_locality_stats);
+        let mut hosts = Vec::new();
+        for stats in localities.flat_map(|locality| &locality.upstream_endpoint_stats) {
+            let address = stats.address.as_ref().and_then(messages::told_address);
+            // Of a host that is not known, or no more, nothing is to be learnt.
+            let Some(host) = address.and_then(|address| self.fleet.at(address)) else { continue };
+            let mut report = HostReport {
+                host,
+                returned: stats.total_successful_requests,
+                errored: stats.total_error_requests,
+                fills: Vec::new(),
+            };
+            for metric in &stats.load_metric_stats {
+                let Some((what, service)) = metric.metric_name.split_once('/') else { continue };
+                let Some(ds) = self.fleet.service(service) else { continue };
+                let at = report.fills.iter().position(|fills| fills.ds == ds).unwrap_or_else(|| {
+                    report.fills.push(Fills { ds, ..Fills::default() });
+                    report.fills.len() - 1
+                });
+                let fills = &mut report.fills[at];
+                match what {
+                    "fills" => {
+                        (fills.all, fills.bad) =
+                            (metric.num_requests_finished_with_metric, metric.total_metric_value);
+                    }
+                    "fills-out" => fills.out = metric.num_requests_finished_with_metric,
+                    _ => {}
+                }
+            }
+            hosts.push(report);
+        }
+        if let Err(disbelief) = self.reports.take(node, &hosts, self.now) {
+            self.fault(&format!("a load report of {node:?} is not believed: {disbelief}"));
+        }
+    }
+
+    /// One line at most in a while, with how many went by without one.
+    fn fault(&mut self, what: &str) {
+        if self.now < self.log_at {
+            self.unsaid += 1;
+            return;
+        }
+        log::warn!(unsaid = std::mem::take(&mut self.unsaid); "{what}");
+        self.log_at = self.now + LOG_EVERY;
+    }
+
+    fn report(&self) {
+        let Counters { opened, closed, turned_away, requests, events, polls_lost, logs_anew, .. } =
+            self.counters;
+        let Counters { pushes: [urgent, beats, ordinary], turns, turn_longest_us, .. } = self.counters;
+        log::info!(opened, closed, turned_away, open = self.ports.len(), requests; "streams");
+        log::info!(urgent, beats, ordinary; "messages");
+        log::info!(events, polls_lost, logs_anew, hosts = self.fleet.len(), faults = self.fleet.faults; "change log");
+        log::info!(taken = self.reports.taken, disbelieved = self.reports.disbelieved; "reports");
+        log::info!(turns, turn_longest_us; "loop");
+    }
+}
--- /dev/null
+++ b/crates/control/src/shown.rs
@@ -0,0 +1,145 @@
+//! What operators are shown of proxies, by the published client-status service: made here, and asked for and printed.
+
+use crate::exchange::{Exchange, Form};
+use envoy_types::pb::envoy::admin::v3::{ClientResourceStatus, UpdateFailureState};
+use envoy_types::pb::envoy::config::core::v3::Node;
+use envoy_types::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
+use envoy_types::pb::envoy::service::status::v3::client_status_discovery_service_client as csds;
+use envoy_types::pb::envoy::service::status::v3::{
+    ClientConfig, ClientStatusRequest, ClientStatusResponse, ConfigStatus,
+};
+use envoy_types::pb::google::protobuf::value::Kind as Of;
+use envoy_types::pb::google::protobuf::{Struct, Value};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bytes of an answer on a thousand proxies.
+const ANSWER_LONG: usize = 64 * 1024 * 1024;
+
+fn number(n: f64) -> Value {
+    Value { kind: Some(Of::NumberValue(n)) }
+}
+
+fn text(text: &str) -> Value {
+    Value { kind: Some(Of::StringValue(text.to_owned())) }
+}
+
+/// Every stream with what it holds and refused; what the published message has no field for stands in the node's
+/// metadata.
+pub fn status(exchange: &Exchange, now: Duration) -> ClientStatusResponse {
+    let ms = |span: Duration| number(span.as_millis() as f64);
+    let config = exchange.shown(now).map(|stream| {
+        let form = if stream.form == Form::Whole { "whole" } else { "delta" };
+        let told = [
+            ("peer", text(stream.peer)),
+            ("form", text(form)),
+            ("stream", number(stream.id as f64)),
+            ("age_ms", ms(stream.age)),
+            ("heard_ms", ms(stream.heard)),
+            ("lag_ms", ms(stream.lag)),
+            ("lease_ms", stream.lease.map_or(number(-1.0), ms)),
+            ("owed", number(stream.owed as f64)),
+            ("messages", number(stream.counted.messages as f64)),
+            ("beats", number(stream.counted.beats as f64)),
+            ("accepted", number(stream.counted.accepted as f64)),
+            ("refused", number(stream.counted.refused as f64)),
+            ("unknown_types", number(stream.counted.unknown_types as f64)),
+        ];
+        let fields = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
+        let held = stream.held.iter().map(|(kind, name, version)| GenericXdsConfig {
+            type_url: kind.url().into(),
+            name: (*name).to_owned(),
+            version_info: version.to_string(),
+            config_status: ConfigStatus::Synced.into(),
+            client_status: ClientResourceStatus::Acked.into(),
+            ..Default::default()
+        });
+        let refused = stream.refused.iter().map(|(kind, name, refused)| GenericXdsConfig {
+            type_url: kind.url().into(),
+            name: (*name).to_owned(),
+            config_status: ConfigStatus::Error.into(),
+            client_status: ClientResourceStatus::Nacked.into(),
+            error_state: Some(UpdateFailureState {
+                details: refused.why.clone(),
+                version_info: refused.version.to_string(),
+                ..Default::default()
+            }),
+            ..Default::default()
+        });
+        ClientConfig {
+            node: Some(Node {
+                id: stream.node.to_owned(),
+                metadata: Some(Struct { fields }),
+                ..Default::default()
+            }),
+            generic_xds_configs: held.chain(refused).collect(),
+            ..Default::default()
+        }
+    });
+    ClientStatusResponse { config: config.collect() }
+}
+
+/// Asks a running service.
+pub fn ask(address: SocketAddr, patience: Duration) -> Result<ClientStatusResponse, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    runtime.block_on(async {
+        let asked = async {
+            let client = csds::ClientStatusDiscoveryServiceClient::connect(format!("http://{address}")).await;
+            let client = client.map_err(|e| format!("{address} can't be reached: {e}"))?;
+            let mut client = client.max_decoding_message_size(ANSWER_LONG);
+            let answer = client.fetch_client_status(ClientStatusRequest::default()).await;
+            answer.map(tonic::Response::into_inner).map_err(|e| format!("{address} answers: {}", e.message()))
+        };
+        let late = |_| format!("{address} has not answered in {} ms", patience.as_millis());
+        tokio::time::timeout(patience, asked).await.map_err(late)?
+    })
+}
+
+/// The table that people read: a line for each proxy, one more for each thing that it refused.
+pub fn print(status: &ClientStatusResponse) -> String {
+    let mut out = String::new();
+    let mut line = |cells: [&str; 8]| {
+        let [node, peer, form, lease, lag, owed, holds, refused] = cells;
+        let _ = writeln!(
+            out,
+            "{node:<24} {peer:<21} {form:<5} {lease:>9} {lag:>8} {owed:>5} {holds:>6} {refused:>7}"
+        );
+    };
+    line(["proxy", "from", "form", "lease ms", "lag ms", "owed", "holds", "refused"]);
+    let mut why = Vec::new();
+    for client in &status.config {
+        let Some(node) = &client.node else { continue };
+        let told = |name: &str| {
+            let value = node.metadata.as_ref().and_then(|m| m.fields.get(name)).and_then(|v| v.kind.as_ref());
+            match value {
+                Some(Of::NumberValue(n)) if *n < 0.0 => "none".to_owned(),
+                Some(Of::NumberValue(n)) => format!("{n:.0}"),
+                Some(Of::StringValue(text)) => text.clone(),
+                _ => "?".to_owned(),
+            }
+        };
+        let refused: Vec<_> = client.generic_xds_configs.iter().filter(|c| c.error_state.is_some()).collect();
+        let holds = client.generic_xds_configs.len() - refused.len();
+        let cells = [
+            node.id.clone(),
+            told("peer"),
+            told("form"),
+            told("lease_ms"),
+            told("lag_ms"),
+            told("owed"),
+            holds.to_string(),
+            refused.len().to_string(),
+        ];
+        line(cells.each_ref().map(String::as_str));
+        for config in refused {
+            let details = config.error_state.as_ref().map(|state| state.details.as_str()).unwrap_or_default();
+            why.push(format!("{} refuses {}: {details}", node.id, config.name));
+        }
+    }
+    for why in why {
+        let _ = writeln!(out, "{why}");
+    }
+    out
+}
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -5,6 +5,7 @@
 use super::hosts::Host;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
+use myrtlegauge_wire::feed::Step;
 use myrtlegauge_wire::protocol::Fault;
 use myrtlegauge_wire::protocol::changelog::Endpoint;
 use std::fmt::Arguments;
@@ -51,19 +52,17 @@
 
     /// Whether an event has not been taken yet; none if others should have come before it.
     pub fn is_next(&mut self, number: u64) -> Option<bool> {
-        let last = self.feed.last;
-        if number <= last {
-            return Some(false);
-        }
-        if number != last + 1 {
+        let step = self.feed.step(number, self.now);
+        if let Step::Missing(last) | Step::Beyond(last) = step {
             self.fault(format_args!("the change log went from {last} to {number}"));
-            if !self.feed.takes_beyond(number, self.now) {
-                return None;
-            }
         }
-        self.feed.last = number;
-        self.counters.changes += 1;
-        Some(true)
+        let taken = match step {
+            Step::Known => Some(false),
+            Step::Missing(_) => None,
+            Step::Next | Step::Beyond(_) => Some(true),
+        };
+        self.counters.changes += u64::from(taken == Some(true));
+        taken
     }
 
     pub fn told_up_to(&mut self, last: u64) {
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -36,6 +36,18 @@
     beyond: u64,
 }
 
+/// What an event's number says of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Taken before.
+    Known,
+    Next,
+    /// Those after this one are missing, and are asked for once more.
+    Missing(u64),
+    /// Those after this one can't be had: it is taken all the same.
+    Beyond(u64),
+}
+
 impl<O: Owner> Feed<O> {
     pub fn new(address: SocketAddr, key: O::Key) -> Self {
         Self {
@@ -59,9 +71,35 @@
         self.due = now;
     }
 
+    /// What an event's number says of it; one that is to be taken counts as taken.
+    pub fn step(&mut self, number: u64, now: Duration) -> Step {
+        let last = self.last;
+        if number <= last {
+            return Step::Known;
+        }
+        let gap = number != last + 1;
+        if gap && !self.takes_beyond(number, now) {
+            return Step::Missing(last);
+        }
+        self.last = number;
+        if gap { Step::Beyond(last) } else { Step::Next }
+    }
+
+    /// Takes the number of the last event there is; one under what was taken is of a change log that began anew, and
+    /// it is asked for all.
+    pub fn began_anew(&mut self, last: u64, now: Duration) -> bool {
+        let anew = last < self.last;
+        if anew {
+            self.last = 0;
+            self.lose(now);
+            self.due = now;
+        }
+        anew
+    }
+
     /// Whether an event that others should come before is taken: at the start. Later not at first, for those are
     /// asked for again on a new connection; then it is, for the change log no longer has them.
-    pub fn takes_beyond(&mut self, number: u64, now: Duration) -> bool {
+    fn takes_beyond(&mut self, number: u64, now: Duration) -> bool {
         let again = self.connection.is_none() || std::mem::replace(&mut self.beyond, number) == number;
         if !again {
             self.lose(now);
