crates/lab: a proof run of the control service on real sockets, faults drawn from a seed

The promises (nothing to a draining host after 250 ms, no copy from before a purge after 1 s, no effect twice, one answer for each GET) must be judged by what stand-ins see, with proxies that reconnect, go silent, read nothing, refuse and lie, a change log that breaks off, stops and begins anew, and the service killed twice.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -32,6 +32,9 @@
     name: String,
     address: Option<SocketAddr>,
     entry: Entry,
+    /// When its life began, Unix milliseconds; never goes back, whatever later lines leave out or contradict. One that
+    /// is on again after it was not has begun another, whether or not the list says so.
+    life: u64,
     gone_at: Option<Duration>,
     /// As it was published last.
     line: Option<HostLine>,
@@ -176,8 +179,14 @@
             let (index, new) = self.places.host(&line.name);
             if new {
                 let entry = Entry { host: index, units: 1.0, ..Entry::default() };
-                let known =
-                    Known { name: line.name.to_string(), address: None, entry, gone_at: None, line: None };
+                let known = Known {
+                    name: line.name.to_string(),
+                    address: None,
+                    entry,
+                    life: 0,
+                    gone_at: None,
+                    line: None,
+                };
                 match self.hosts.get_mut(index) {
                     Some(place) => *place = known,
                     None => self.hosts.push(known),
@@ -200,6 +209,9 @@
                 self.by_address.remove(&left);
             }
             host.address = address.or(host.address);
+            let (began, was) = (self.clock.unix_ms(entry.started), host.entry.standing);
+            let again = !new && was != Standing::On && entry.standing == Standing::On && began <= host.life;
+            host.life = if again { self.clock.unix_ms(now) } else { began.max(host.life) };
             host.entry = entry;
             host.gone_at = host.gone_at.or(Some(now)).filter(|_| entry.standing == Standing::Gone);
             entries.push(entry);
@@ -324,7 +336,7 @@
             name: host.name.clone(),
             address,
             tier,
-            life: self.clock.unix_ms(entry.started),
+            life: host.life,
             draining: entry.standing == Standing::Draining,
             mark: entry.mark,
             points: points.unwrap_or(0),
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,46 @@
+//! Proof runs: stand-ins on loopback around the real programs, faults drawn from a seed, an oracle that counts at the
+//! stand-ins. `xds` proves the control service. Exit code 0 only if every promise held; 3 if the machine was too busy
+//! to judge.
+
+mod xds;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Proof runs of myrtlegauge, on loopback.
+#[derive(Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    proof: Proof,
+}
+
+#[derive(Subcommand)]
+enum Proof {
+    /// The control service with stand-in proxies, caches and change log.
+    Xds(xds::Plan),
+    /// The control service itself, for a proof run to start and kill.
+    #[command(hide = true)]
+    Serve { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    match Arguments::parse().proof {
+        Proof::Xds(plan) => xds::run(&plan),
+        Proof::Serve { file } => {
+            let text = std::fs::read_to_string(&file).map_err(|e| e.to_string());
+            let served = text.and_then(|text| {
+                let told = myrtlegauge_operator::read(&text).map_err(|faults| format!("{faults:?}"))?;
+                myrtlegauge_operator::logs::start(told.log_form, told.log_level);
+                myrtlegauge_control::service::run(file, &told)
+            });
+            served.map_or_else(
+                |fault| {
+                    eprintln!("{fault}");
+                    ExitCode::FAILURE
+                },
+                |()| ExitCode::SUCCESS,
+            )
+        }
+    }
+}
