A lease comes only with or after all that it vouches for

Assignments now go together or not at all, and only once all that there was when the stream began has been sent; a refused one ends the lease. What is gone no longer waits for types that wait for it.

--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -139,6 +139,8 @@
     alone: BTreeSet<Rc<str>>,
     /// An answer is owed even if there is nothing to say.
     reply: bool,
+    /// All that there was at its first request was sent once.
+    synced: bool,
     flights: VecDeque<Flight>,
     refused: BTreeMap<Rc<str>, Refused>,
     /// Facts that the proxy has and this instance has not heard, with the time until which it waits for them.
@@ -450,7 +452,8 @@
         return;
     };
     counted.refused += 1;
-    let several = carried.len() > 1;
+    // Assignments go together, and so they are refused.
+    let several = carried.len() > 1 && request.url != Kind::Assignment.url();
     for (name, version) in carried {
         // A later message may bear the name already; that one speaks for it.
         if topic.held.get(&name).is_some_and(|held| *held != version) {
@@ -567,6 +570,8 @@
                 topic.held.insert(Rc::clone(name), version);
                 topic.ahead.insert(Rc::clone(name), (version, now + CATCH_UP));
             }
+            // What is leased is given anew: until then nothing of it is renewed.
+            Some((_, resource)) if resource.leased => {}
             Some((name, _)) => drop(topic.held.insert(Rc::clone(name), version)),
             // A purge or a host that this instance knows nothing of, yet or any more.
             None => {
@@ -591,13 +596,21 @@
     format!("{:016x}", twox_hash::XxHash64::oneshot(0, said.as_bytes()))
 }
 
-/// Whether what a proxy holds can be vouched for: nothing urgent was refused, or has been out for a whole lease.
-fn vouches(stream: &Stream, lease: Lease, now: Duration) -> bool {
-    stream.topics.iter().all(|topic| {
-        let refused = topic.refused.values().any(|refused| refused.urgent);
-        let late = topic.flights.iter().any(|flight| flight.urgent && now >= flight.at + lease.ttl);
-        !refused && !late
-    })
+/// Whether what a proxy holds, of the types before `end`, can be vouched for: it was sent all there was when it came and
+/// all that is urgent since; nothing urgent was refused, or has been out for a whole lease. Guards against a lease that
+/// comes before a drain or purge that it vouches for. It hurts a proxy that refuses one: it sheds.
+fn vouches(stream: &mut Stream, end: usize, lease: Lease, now: Duration) -> bool {
+    for topic in &mut stream.topics {
+        topic.synced |= topic.asked && topic.quiet();
+    }
+    let told = |topic: &Topic| topic.urgent.is_empty() && (topic.synced || !topic.asked);
+    stream.topics[..end].iter().all(told)
+        && stream.topics.iter().enumerate().all(|(kind, topic)| {
+            let leased = kind == Kind::Assignment as usize;
+            let refused = topic.refused.values().any(|refused| refused.urgent || leased);
+            let late = topic.flights.iter().any(|flight| flight.urgent && now >= flight.at + lease.ttl);
+            !refused && !late
+        })
 }
 
 /// Puts a message together from names that are owed; what needs no word any more is passed over.
@@ -611,6 +624,11 @@
 ) -> Option<Message> {
     let (form, topic) = (stream.form, &mut stream.topics[kind as usize]);
     let from_urgent = lane == Lane::Urgent;
+    if kind == Kind::Assignment {
+        // They bring the lease, so they go together or not at all.
+        let owed = std::mem::take(if from_urgent { &mut topic.owed } else { &mut topic.urgent });
+        if from_urgent { &mut topic.urgent } else { &mut topic.owed }.extend(owed);
+    }
     let (mut resources, mut removed, mut bytes) = (Vec::new(), Vec::<Rc<str>>::new(), 0);
     let names: Vec<Rc<str>> = if from_urgent { &topic.urgent } else { &topic.owed }.iter().cloned().collect();
     let mut done = BTreeSet::new();
@@ -644,7 +662,7 @@
             done.insert(name);
             continue;
         }
-        let alone = topic.alone.contains(&name);
+        let alone = topic.alone.contains(&name) && kind != Kind::Assignment;
         if alone && !(resources.is_empty() && removed.is_empty()) {
             continue;
         }
@@ -653,7 +671,7 @@
         topic.held.insert(Rc::clone(&name), resource.version);
         topic.alone.remove(&name);
         done.insert(name);
-        if alone || bytes >= BYTES_MOST {
+        if alone || bytes >= BYTES_MOST && kind != Kind::Assignment {
             break;
         }
     }
@@ -686,8 +704,8 @@
 }
 
 fn urgent(stream: &mut Stream, shelf: &Shelf, lease: Lease, now: Duration) -> Option<Message> {
-    let vouched = vouches(stream, lease, now);
     KINDS.into_iter().find_map(|kind| {
+        let vouched = vouches(stream, kind as usize, lease, now);
         let topic = &stream.topics[kind as usize];
         // An assignment brings a lease with it, and none is due to one that refused a drain.
         let may = kind != Kind::Assignment || vouched;
@@ -698,8 +716,7 @@
 
 /// Renews the lease of a proxy that was told all that is urgent and refused none of it.
 fn beat(stream: &mut Stream, shelf: &Shelf, lease: Lease, now: Duration) -> Option<Message> {
-    let untold = stream.topics.iter().any(|topic| !topic.urgent.is_empty());
-    if now < stream.beat_at || untold || !vouches(stream, lease, now) {
+    if now < stream.beat_at || !vouches(stream, Kind::Route as usize, lease, now) {
         return None;
     }
     let topic = &stream.topics[Kind::Assignment as usize];
@@ -722,19 +739,18 @@
     if !stream.admitted {
         return None;
     }
-    let vouched = vouches(stream, lease, now);
-    let untold = stream.topics.iter().any(|topic| !topic.urgent.is_empty());
+    let vouched = vouches(stream, Kind::Assignment as usize, lease, now);
     for kind in KINDS {
         let topic = &stream.topics[kind as usize];
         if topic.flights.iter().any(|flight| !flight.urgent) {
             return None;
         }
-        if topic.quiet() || kind == Kind::Assignment && (untold || !vouched) {
+        if topic.quiet() || kind == Kind::Assignment && !vouched {
             continue;
         }
-        let above = stream.topics[kind as usize + 1..].iter();
-        let unnamed = above.clone().all(|topic| topic.quiet() && topic.flights.is_empty());
-        // A type of which nothing was accepted yet can't have been named by another.
+        // A cluster goes once no route names it any more; nothing names what else goes.
+        let routes = &stream.topics[Kind::Route as usize];
+        let unnamed = kind != Kind::Cluster || routes.quiet() && routes.flights.is_empty();
         if let Some(message) = make(stream, shelf, kind, Lane::Ordinary, lease, unnamed) {
             return Some(message);
         }
--- a/crates/control/tests/streams.rs
+++ b/crates/control/tests/streams.rs
@@ -275,11 +275,16 @@
     Reconnect(u8),
 }
 
+/// Five caches and two parents.
+fn host(n: u8) -> String {
+    if n < 5 { format!("cache-{n}") } else { format!("parent-{}", 995 + u32::from(n)) }
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
-        (0u8..5).prop_map(Step::Drain),
-        (0u8..5).prop_map(Step::Gone),
-        (0u8..5).prop_map(Step::Back),
+        (0u8..7).prop_map(Step::Drain),
+        (0u8..7).prop_map(Step::Gone),
+        (0u8..7).prop_map(Step::Back),
         (0u8..20).prop_map(Step::Purge),
         (1u8..60).prop_map(Step::Pass),
         (0u8..3, any::<bool>()).prop_map(|(proxy, answers)| Step::Take(proxy, answers)),
@@ -309,19 +314,19 @@
         for step in steps {
             match step {
                 Step::Drain(n) => {
-                    let name = format!("cache-{n}");
+                    let name = host(n);
                     if world.fleet.entries().count() > 0 {
                         world.told(&name, "leaving", 0);
                         drained.entry(name).or_insert(world.now);
                     }
                 }
                 Step::Gone(n) => {
-                    let name = format!("cache-{n}");
+                    let name = host(n);
                     world.told(&name, "left", 0);
                     drained.entry(name).or_insert(world.now);
                 }
                 Step::Back(n) => {
-                    let name = format!("cache-{n}");
+                    let name = host(n);
                     let since = world.unix_ms();
                     world.told(&name, "active", since);
                     drained.remove(&name);
@@ -383,3 +388,33 @@
         }
     }
 }
+
+#[test]
+fn a_lease_comes_only_with_or_after_all_that_it_vouches_for() {
+    for form in [Form::Whole, Form::Delta] {
+        let mut world = World::new(5, 3);
+        let mut proxy = join(&mut world, form);
+        world.exchange.close(proxy.stream);
+        world.pass(ms(300));
+        assert_eq!(proxy.follower.lease_left_ms(world.unix_ms()), 0);
+        world.told("cache-1", "leaving", 0);
+        world.purge(Some("0000000000000007"), None, world.unix_ms() as f64);
+        proxy.open(&mut world);
+        // Something urgent of one assignment comes while another is still owed, with a drain in it.
+        world.told("parent-1001", "leaving", 0);
+        for _ in 0..40 {
+            if let Some(message) = world.next(proxy.stream) {
+                let answer = proxy.take(&message, world.unix_ms());
+                world.exchange.heard(proxy.stream, &answer, world.now).unwrap();
+            }
+            if proxy.follower.lease_left_ms(world.unix_ms()) > 0 {
+                for host in ["cache-1", "parent-1001"] {
+                    assert!(proxy.follower.knows(host).unwrap().draining, "{form:?}: {host}");
+                }
+                assert!(proxy.choice(7, world.unix_ms()).unwrap().3 < ms(400), "{form:?}: the purge");
+            }
+            world.pass(ms(1));
+        }
+        assert!(proxy.follower.lease_left_ms(world.unix_ms()) > 0, "{form:?}");
+    }
+}
--- a/crates/lab/src/xds/ledger.rs
+++ b/crates/lab/src/xds/ledger.rs
@@ -75,6 +75,13 @@
         does(&mut self.books.lock().expect("no holder of the ledger panics"))
     }
 
+    /// What a run does, for who looks into a break: `LAB_TRACE` set.
+    pub fn say(&self, what: std::fmt::Arguments<'_>) {
+        if std::env::var_os("LAB_TRACE").is_some() {
+            eprintln!("{:>7.3} s  {what}", self.start.elapsed().as_secs_f64());
+        }
+    }
+
     fn broke(&self, books: &mut Books, what: String) {
         books.broken += 1;
         if books.breaks.len() < BREAKS_MOST {
--- a/crates/lab/src/xds/mod.rs
+++ b/crates/lab/src/xds/mod.rs
@@ -203,8 +203,10 @@
     for part in if plan.calm { vec![] } else { vec![0.4, 0.75] } {
         tokio::time::sleep_until((began + first + Duration::from_secs(seconds).mul_f64(part)).into()).await;
         let mut chance = fastrand::Rng::with_seed(plan.seed.wrapping_mul(31) + (part * 100.0) as u64);
+        ledger.say(format_args!("the service is killed"));
         service.kill();
         tokio::time::sleep(Duration::from_millis(chance.u64(20..400))).await;
+        ledger.say(format_args!("the service starts"));
         service.start()?;
         let restarted = Instant::now();
         let again = converged(&stage, restarted, Duration::from_secs(10)).await;
@@ -378,11 +380,14 @@
             if chance.u32(0..5) == 0 { [1, 1] } else { [chance.u64(350..900), chance.u64(100..900)] };
         let stage = Arc::clone(&stage);
         lives.push(tokio::spawn(async move {
+            stage.ledger.say(format_args!("host {} drains", host.index));
             stage.ledger.draining(host.index);
             stage.log.list(&[stage.line(&host, "leaving", 0)], false, Tells::Drain(host.index));
             tokio::time::sleep(Duration::from_millis(left)).await;
+            stage.ledger.say(format_args!("host {} is gone", host.index));
             stage.log.list(&[stage.line(&host, "left", 0)], false, Tells::List);
             tokio::time::sleep(Duration::from_millis(back)).await;
+            stage.ledger.say(format_args!("host {} is back", host.index));
             host.restart();
             stage.ledger.lives_anew(host.index);
             let since_ms = host.since_ms.load(Ordering::Relaxed);
@@ -401,6 +406,7 @@
     while !stage.stop.load(Ordering::Relaxed) {
         tokio::time::sleep(Duration::from_millis(chance.u64(40..200))).await;
         if chance.u32(0..12) == 0 {
+            stage.ledger.say(format_args!("the change log fails"));
             match chance.u32(0..3) {
                 0 => stage.log.break_off(),
                 1 => stage.log.fall_silent(Duration::from_millis(chance.u64(50..700))),
@@ -420,6 +426,7 @@
             4 => Fault::Slow(long / 10),
             _ => Fault::Refuse(["purge/", "cache-1", "caches", "gets"][chance.usize(0..4)]),
         };
+        stage.ledger.say(format_args!("proxy {} suffers {fault:?}", proxy.index));
         suffered.push(tokio::spawn(Arc::clone(proxy).suffer(fault)));
     }
     for fault in suffered {
--- a/crates/lab/src/xds/proxy.rs
+++ b/crates/lab/src/xds/proxy.rs
@@ -235,6 +235,12 @@
         let refuse = *self.refuse.lock().expect("no holder panics");
         let refused =
             refuse.filter(|what| told.resources.iter().any(|r| r.body.is_some() && r.name.contains(what)));
+        let names: Vec<_> =
+            told.resources.iter().map(|r| (r.name.as_str(), r.body.is_some(), r.ttl)).collect();
+        if !names.is_empty() && told.resources.iter().any(|r| r.body.is_some()) {
+            self.ledger
+                .say(format_args!("proxy {} is told {:?} {names:?} {}", self.index, told.kind, told.nonce));
+        }
         let taken = match refused {
             Some(what) => Err(format!("{what} is refused for the proof")),
             None => self.session().take(told, now_ms()),
@@ -326,6 +332,12 @@
                 Err(_) => return "shed",
             };
             sent += 1;
+            if let Some(name) = &names[0] {
+                let session = self.session();
+                let line = session.follower.knows(name);
+                let lease = session.follower.lease_left_ms(now_ms());
+                self.ledger.say(format_args!("{id} goes by {line:?}, lease {lease} ms, to {address}"));
+            }
             if stream.get_mut().write_all(&words(&["serve", id, &fields, ""])).await.is_err() {
                 self.saw(address, false, None);
                 if again {
