Control service and client library measured; assignments gather what only grows; status in slices

An assignment now gathers what only grows for 250 ms; drains and falls go at once. A status is put together a few streams a turn, so that asking does not delay a drain.

--- a/crates/client/tests/decisions.rs
+++ b/crates/client/tests/decisions.rs
@@ -422,3 +422,33 @@
     let service = rig.core.service_of(call).expect("it is in hand");
     ran.entry(mark.first).or_insert((service, *at, *place));
 }
+
+#[test]
+fn a_deadline_that_falls_between_two_tries_begins_none_and_a_clock_that_jumps_harms_nothing() {
+    let mut rig = Rig::new(&[0]);
+    rig.earn(10);
+    // Answers take some 200 ms here, so that a try with 60 ms left can't end in time.
+    for _ in 0..30 {
+        let call = rig.take(VIDEO, 1000);
+        rig.up();
+        rig.pass(ms(200));
+        rig.answer(call, Answered::Returned);
+    }
+    let call = rig.take(VIDEO, 260);
+    rig.up();
+    rig.pass(ms(200));
+    let sent = rig.trace.sent.len();
+    rig.answer(call, Answered::Errored);
+    assert_eq!(rig.trace.sent.len(), sent, "no try that can't end");
+    assert_eq!(rig.trace.done.last().map(|(_, of, end)| (*of, *end)), Some((call, Ended::Errored)));
+    // Back by a second: time stands still; then on by a day: what is in hand is over, once.
+    let call = rig.take(VIDEO, 5000);
+    rig.trace.now -= ms(100);
+    rig.up();
+    assert!(rig.out(call).is_some());
+    let before = rig.trace.done.len();
+    rig.trace.now += Duration::from_secs(86_400);
+    rig.round(|_| ());
+    rig.round(|_| ());
+    assert_eq!(rig.trace.done.len(), before + 1);
+}
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -404,7 +404,12 @@
     }
 
     pub fn shown(&self, now: Duration) -> impl Iterator<Item = Shown<'_>> {
-        self.streams.iter().map(move |(id, stream)| {
+        self.shown_from(0, now)
+    }
+
+    /// Streams from one on.
+    pub fn shown_from(&self, from: StreamId, now: Duration) -> impl Iterator<Item = Shown<'_>> {
+        self.streams.iter().filter(move |(id, _)| *id >= from).map(move |(id, stream)| {
             let topics = || KINDS.iter().zip(&stream.topics);
             let oldest =
                 topics().filter_map(|(_, topic)| topic.flights.front()).map(|flight| flight.at).min();
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -23,6 +23,9 @@
 const FORGET: Duration = Duration::from_secs(60);
 /// Time to connect that proxies are told: under the least grace, for a host may drain meanwhile.
 const CONNECT: Duration = Duration::from_millis(200);
+/// An assignment holds a whole tier, so that what only grows in it (a cold host's part) is put together over this long;
+/// what drains, is gone or takes less goes at once. It hurts by a cold host that warms up a little later.
+const GATHER: Duration = Duration::from_millis(250);
 /// Purges held at once; a log that names more than that in the time for which purges hold is out of its mind, and the
 /// oldest go first.
 const PURGES_MOST: usize = 65_536;
@@ -86,6 +89,9 @@
     /// Terms as published last, by service.
     terms: Vec<Option<TermsLine>>,
     routed: bool,
+    /// By tier: its assignment lags behind its hosts, and since when it stands as it is.
+    lags: [bool; 3],
+    assigned_at: [Duration; 3],
     pub faults: u64,
 }
 
@@ -120,6 +126,8 @@
             here: number(facts, "my_zone")? as usize,
             purged_within: values::span(facts, "domain.gone_everywhere_ms")?,
             routed: false,
+            lags: [false; 3],
+            assigned_at: [Duration::ZERO; 3],
             faults: 0,
         })
     }
@@ -303,22 +311,29 @@
                 continue;
             }
             let before = std::mem::replace(&mut host.line, line);
-            for (old, new) in [(before.as_ref(), host.line.as_ref())] {
-                // A host that drains, is gone, or is another process at the same address, is urgent.
-                let life =
-                    |line: Option<&HostLine>| line.map(|line| (line.life, line.draining, line.address));
-                let urgent = old.is_some() && life(old) != life(new);
-                let (at, name) = match (old, new) {
-                    (_, Some(line)) | (Some(line), None) => (line.tier as usize, line.resource_name()),
-                    (None, None) => continue,
-                };
-                let moved = old.filter(|old| new.is_some_and(|new| new.tier != old.tier));
-                if let Some(old) = moved {
-                    (changed[old.tier as usize], ended[old.tier as usize]) = (true, true);
-                    exchange.put(Kind::Host, &old.resource_name(), None, true);
-                }
-                (changed[at], ended[at]) = (true, ended[at] | urgent);
-                exchange.put(Kind::Host, &name, new.map(host_resource), urgent);
+            let (old, new) = (before.as_ref(), host.line.as_ref());
+            // A host that drains, is gone, or is another process at the same address, is urgent.
+            let life = |line: Option<&HostLine>| line.map(|line| (line.life, line.draining, line.address));
+            let urgent = old.is_some() && life(old) != life(new);
+            let (at, name) = match (old, new) {
+                (_, Some(line)) | (Some(line), None) => (line.tier as usize, line.resource_name()),
+                (None, None) => continue,
+            };
+            if let Some(moved) = old.filter(|old| new.is_some_and(|new| new.tier != old.tier)) {
+                (changed[moved.tier as usize], ended[moved.tier as usize]) = (true, true);
+                exchange.put(Kind::Host, &moved.resource_name(), None, true);
+            }
+            let part = |line: Option<&HostLine>| line.map_or(0.0, |line| line.part);
+            self.lags[at] = true;
+            // A new host is named at once: nothing is gathered while a tier comes into being.
+            changed[at] |= urgent || old.is_none() || part(new) < part(old);
+            ended[at] |= urgent;
+            exchange.put(Kind::Host, &name, new.map(host_resource), urgent);
+        }
+        for (tier, changed) in changed.iter_mut().enumerate() {
+            *changed |= self.lags[tier] && now >= self.assigned_at[tier] + GATHER;
+            if *changed {
+                (self.lags[tier], self.assigned_at[tier]) = (false, now);
             }
         }
         self.publish_rest(exchange, &reading, changed, ended, unix_ms);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -9,17 +9,19 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, channel};
 use envoy_types::pb::envoy::service::load_stats::v3::LoadStatsRequest;
+use envoy_types::pb::envoy::service::status::v3::ClientStatusResponse;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::feed::{Feed, Step};
 use myrtlegauge_wire::protocol::Fault;
 use myrtlegauge_wire::protocol::changelog::{Change, Changes};
 use myrtlegauge_wire::transport::{Accounts, Owner};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
 use tonic::Status;
 
 /// How often what changes by itself (warmth, the flag, the end of a purge) is published.
@@ -30,6 +32,8 @@
 const SHARED: usize = 64 * 1024;
 /// Messages of one stream in one turn, so that one with much to get keeps none waiting.
 const TURN_MOST: usize = 4;
+/// Questions for a status that wait; each is answered a few streams a turn.
+const SHOWING_MOST: usize = 4;
 /// Lines on what proxies do wrong, in so long.
 const LOG_EVERY: Duration = Duration::from_millis(1000);
 
@@ -70,6 +74,7 @@
     accounts: Rc<Accounts>,
     shared: Vec<u8>,
     heard: Vec<Heard>,
+    showing: VecDeque<(oneshot::Sender<ClientStatusResponse>, shown::Showing)>,
     ports: BTreeMap<Ticket, Port>,
     now: Duration,
     look_at: Duration,
@@ -143,6 +148,7 @@
             accounts: Rc::new(Accounts::default()),
             shared: vec![0; SHARED],
             heard: Vec::new(),
+            showing: VecDeque::new(),
             ports: BTreeMap::new(),
             now,
             look_at: now,
@@ -189,7 +195,7 @@
         if self.blocked {
             due = due.min(self.now + BLOCKED);
         }
-        let quiet = self.heard.is_empty() && !self.feed_stirred;
+        let quiet = self.heard.is_empty() && !self.feed_stirred && self.showing.is_empty();
         if quiet { due.saturating_sub(self.fleet.clock().now()) } else { Duration::ZERO }
     }
 
@@ -215,6 +221,12 @@
         let stuck = self.exchange.turn(self.now);
         self.end(&stuck, &Refusal::Stuck);
         self.push();
+        if let Some((_, showing)) = self.showing.front_mut()
+            && let Some(whole) = showing.go_on(&self.exchange, self.now)
+            && let Some((reply, _)) = self.showing.pop_front()
+        {
+            let _ = reply.send(whole);
+        }
         self.counters.turns += 1;
         let took = self.fleet.clock().now().saturating_sub(began).as_micros() as u64;
         self.counters.turn_longest_us = self.counters.turn_longest_us.max(took);
@@ -334,7 +346,10 @@
                 drop(permit);
             }
             Heard::Shown { reply } => {
-                let _ = reply.send(shown::status(&self.exchange, self.now));
+                // Who asks too often is told that it can't be had, as its answer's end.
+                if self.showing.len() < SHOWING_MOST {
+                    self.showing.push_back((reply, shown::Showing::default()));
+                }
             }
         }
     }
--- a/crates/control/src/shown.rs
+++ b/crates/control/src/shown.rs
@@ -1,6 +1,6 @@
 //! What operators are shown of proxies, by the published client-status service: made here, and asked for and printed.
 
-use crate::exchange::{Exchange, Form};
+use crate::exchange::{Exchange, Form, Shown, StreamId};
 use envoy_types::pb::envoy::admin::v3::{ClientResourceStatus, UpdateFailureState};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
@@ -25,59 +25,78 @@
     Value { kind: Some(Of::StringValue(text.to_owned())) }
 }
 
-/// Every stream with what it holds and refused; what the published message has no field for stands in the node's
-/// metadata.
-pub fn status(exchange: &Exchange, now: Duration) -> ClientStatusResponse {
+/// Streams shown in one turn: what is shown must not keep a drain waiting.
+const TURN_MOST: usize = 8;
+
+/// A status that is being put together, a few streams a turn.
+#[derive(Default)]
+pub struct Showing {
+    next: StreamId,
+    response: ClientStatusResponse,
+}
+
+impl Showing {
+    /// Takes the next few streams; the whole once there are no more.
+    pub fn go_on(&mut self, exchange: &Exchange, now: Duration) -> Option<ClientStatusResponse> {
+        let before = self.response.config.len();
+        for stream in exchange.shown_from(self.next, now).take(TURN_MOST) {
+            self.next = stream.id + 1;
+            self.response.config.push(config(&stream));
+        }
+        let done = self.response.config.len() < before + TURN_MOST;
+        done.then(|| std::mem::take(&mut self.response))
+    }
+}
+
+/// A stream with what it holds and refused; what the published message has no field for stands in the node's metadata.
+fn config(stream: &Shown<'_>) -> ClientConfig {
     let ms = |span: Duration| number(span.as_millis() as f64);
-    let config = exchange.shown(now).map(|stream| {
-        let form = if stream.form == Form::Whole { "whole" } else { "delta" };
-        let told = [
-            ("peer", text(stream.peer)),
-            ("form", text(form)),
-            ("stream", number(stream.id as f64)),
-            ("age_ms", ms(stream.age)),
-            ("heard_ms", ms(stream.heard)),
-            ("lag_ms", ms(stream.lag)),
-            ("lease_ms", stream.lease.map_or(number(-1.0), ms)),
-            ("owed", number(stream.owed as f64)),
-            ("messages", number(stream.counted.messages as f64)),
-            ("beats", number(stream.counted.beats as f64)),
-            ("accepted", number(stream.counted.accepted as f64)),
-            ("refused", number(stream.counted.refused as f64)),
-            ("unknown_types", number(stream.counted.unknown_types as f64)),
-        ];
-        let fields = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
-        let held = stream.held.iter().map(|(kind, name, version)| GenericXdsConfig {
-            type_url: kind.url().into(),
-            name: (*name).to_owned(),
-            version_info: version.to_string(),
-            config_status: ConfigStatus::Synced.into(),
-            client_status: ClientResourceStatus::Acked.into(),
-            ..Default::default()
-        });
-        let refused = stream.refused.iter().map(|(kind, name, refused)| GenericXdsConfig {
-            type_url: kind.url().into(),
-            name: (*name).to_owned(),
-            config_status: ConfigStatus::Error.into(),
-            client_status: ClientResourceStatus::Nacked.into(),
-            error_state: Some(UpdateFailureState {
-                details: refused.why.clone(),
-                version_info: refused.version.to_string(),
-                ..Default::default()
-            }),
-            ..Default::default()
-        });
-        ClientConfig {
-            node: Some(Node {
-                id: stream.node.to_owned(),
-                metadata: Some(Struct { fields }),
-                ..Default::default()
-            }),
-            generic_xds_configs: held.chain(refused).collect(),
+    let form = if stream.form == Form::Whole { "whole" } else { "delta" };
+    let told = [
+        ("peer", text(stream.peer)),
+        ("form", text(form)),
+        ("stream", number(stream.id as f64)),
+        ("age_ms", ms(stream.age)),
+        ("heard_ms", ms(stream.heard)),
+        ("lag_ms", ms(stream.lag)),
+        ("lease_ms", stream.lease.map_or(number(-1.0), ms)),
+        ("owed", number(stream.owed as f64)),
+        ("messages", number(stream.counted.messages as f64)),
+        ("beats", number(stream.counted.beats as f64)),
+        ("accepted", number(stream.counted.accepted as f64)),
+        ("refused", number(stream.counted.refused as f64)),
+        ("unknown_types", number(stream.counted.unknown_types as f64)),
+    ];
+    let fields = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
+    let held = stream.held.iter().map(|(kind, name, version)| GenericXdsConfig {
+        type_url: kind.url().into(),
+        name: (*name).to_owned(),
+        version_info: version.to_string(),
+        config_status: ConfigStatus::Synced.into(),
+        client_status: ClientResourceStatus::Acked.into(),
+        ..Default::default()
+    });
+    let refused = stream.refused.iter().map(|(kind, name, refused)| GenericXdsConfig {
+        type_url: kind.url().into(),
+        name: (*name).to_owned(),
+        config_status: ConfigStatus::Error.into(),
+        client_status: ClientResourceStatus::Nacked.into(),
+        error_state: Some(UpdateFailureState {
+            details: refused.why.clone(),
+            version_info: refused.version.to_string(),
             ..Default::default()
-        }
+        }),
+        ..Default::default()
     });
-    ClientStatusResponse { config: config.collect() }
+    ClientConfig {
+        node: Some(Node {
+            id: stream.node.to_owned(),
+            metadata: Some(Struct { fields }),
+            ..Default::default()
+        }),
+        generic_xds_configs: held.chain(refused).collect(),
+        ..Default::default()
+    }
 }
 
 /// Asks a running service.
--- a/crates/lab/src/client/crowd.rs
+++ b/crates/lab/src/client/crowd.rs
@@ -325,6 +325,56 @@
     None
 }
 
+/// Takes what is to be done and does nothing of it.
+#[derive(Default)]
+struct Nothing {
+    sent: Vec<(LinkId, u16)>,
+    links: Vec<LinkId>,
+}
+
+impl Carry for Nothing {
+    fn connect(&mut self, link: LinkId, _: usize) {
+        self.links.push(link);
+    }
+    fn send(&mut self, link: LinkId, number: u16, _: CallId, _: Mark, _: Duration) {
+        self.sent.push((link, number));
+    }
+    fn abort(&mut self, _: LinkId, _: u16) {}
+    fn close(&mut self, _: LinkId) {}
+    fn done(&mut self, _: CallId, _: Ended) {}
+    fn resent(&mut self, _: &Resend) {}
+}
+
+/// What a call costs in the core, and what an idle client with one connection that is not up weighs.
+fn cost() -> Value {
+    const CALLS: u32 = 1_000_000;
+    let service = vec![Service { name: "video".into(), effect: Effect::Idempotent }];
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let places = vec![Place { address, group: 0, sharers: 1 }; 2];
+    let (mut core, mut out) = (Core::new(service.clone(), places.clone(), 1), Nothing::default());
+    let began = std::time::Instant::now();
+    let mut now = Duration::ZERO;
+    for _ in 0..CALLS {
+        now += Duration::from_micros(100);
+        core.round(now, &mut out, |round| round.take(0, BUDGET));
+        for link in std::mem::take(&mut out.links) {
+            core.round(now, &mut out, |round| round.up(link));
+        }
+        for (link, number) in std::mem::take(&mut out.sent) {
+            core.round(now, &mut out, |round| round.answered(link, number, Answered::Returned));
+        }
+    }
+    let each = began.elapsed().as_nanos() as u64 / u64::from(CALLS);
+    let before = crate::xds::service::used(std::process::id()).memory_kb;
+    let clients: Vec<_> = (0..500)
+        .filter_map(|seed| myrtlegauge_client::Client::new(service.clone(), places.clone(), seed).ok())
+        .collect();
+    let after = crate::xds::service::used(std::process::id()).memory_kb;
+    let weighs = (after - before) as f64 / clients.len().max(1) as f64;
+    println!("a call in the core {each} ns; an idle client {weighs:.1} KB");
+    json!({"call_ns": each, "idle_client_kb": weighs})
+}
+
 /// The measurement: an overload of 1.5 times, a 3 s outage, and a crowd that returns after a restart.
 pub fn measure(seed: u64) -> Value {
     let mut told = Vec::new();
@@ -390,6 +440,7 @@
             "#".repeat((*n as usize * 60).div_ceil(worst.max(1) as usize))
         );
     }
-    json!({"runs": told, "crowd": {"clients": 5000, "returns": all, "over_ms": came.len() * 100,
+    let cost = cost();
+    json!({"cost": cost, "runs": told, "crowd": {"clients": 5000, "returns": all, "over_ms": came.len() * 100,
         "worst_100ms": worst, "mean_100ms": mean, "worst_over_mean": worst as f64 / mean}})
 }
--- a/crates/lab/src/client/mod.rs
+++ b/crates/lab/src/client/mod.rs
@@ -202,7 +202,7 @@
     }
     tokio::spawn(Arc::clone(&log).serve());
     log.list(&hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>(), true, Tells::List);
-    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false);
+    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
     let mut dispatchers = Vec::new();
     for _ in 0..2 {
         let dispatcher = Dispatcher::start(&text, log.address, plan.verbose)?;
--- a/crates/lab/src/xds/beside.rs
+++ b/crates/lab/src/xds/beside.rs
@@ -3,6 +3,7 @@
 
 use super::hosts::Host;
 use super::ledger::Ledger;
+use super::service::{self, Used};
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -30,13 +31,25 @@
 }
 
 fn spawn(file: &std::path::Path, verbose: bool) -> Result<Child, String> {
-    let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let errors = if verbose { Stdio::inherit() } else { Stdio::null() };
-    let child = Command::new(program).arg("dispatch").env("ROUTER_CONFIG", file).stderr(errors).spawn();
+    // An earlier version of the program can stand in its place, for a comparison.
+    let mut program = match std::env::var_os("LAB_DISPATCHER") {
+        Some(earlier) => Command::new(earlier),
+        None => {
+            let mut own = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
+            own.arg("dispatch");
+            own
+        }
+    };
+    let child = program.env("ROUTER_CONFIG", file).stderr(errors).spawn();
     child.map_err(|e| format!("the dispatcher does not start: {e}"))
 }
 
 impl Dispatcher {
+    pub fn used(&self) -> Used {
+        service::used(self.child.id())
+    }
+
     /// Ends it, asked to or at once, and starts it again after a pause.
     pub async fn restart(&mut self, asked: bool, pause: Duration) -> Result<(), String> {
         if asked {
--- a/crates/lab/src/xds/mod.rs
+++ b/crates/lab/src/xds/mod.rs
@@ -76,6 +76,12 @@
     /// No faults but drains and purges: for measurements.
     #[arg(long)]
     calm: bool,
+    /// With --calm, the service is killed all the same.
+    #[arg(long)]
+    kills: bool,
+    /// The grace that the service is told for drains, ms: longer means fewer heartbeats, and a run that can't hold.
+    #[arg(long, default_value_t = 250)]
+    drain_grace_ms: u64,
     /// Leave a defence out: the run must fail.
     #[arg(long)]
     without: Option<Without>,
@@ -156,7 +162,7 @@
     if plan.dispatcher {
         return beside(plan, ledger, log, hosts, proxies, seconds).await;
     }
-    let mut service = Service::new(log.address, plan.verbose)?;
+    let mut service = Service::new(log.address, plan.verbose, plan.drain_grace_ms)?;
     service.start()?;
     service.wait_until_it_answers().await?;
     let alone = service.used();
@@ -200,7 +206,7 @@
     let rogues =
         (!plan.calm).then(|| tokio::spawn(rogues::run(service.address(), stage.hosts.clone(), plan.seed)));
     let mut after_kill = Vec::new();
-    for part in if plan.calm { vec![] } else { vec![0.4, 0.75] } {
+    for part in if plan.calm && !plan.kills { vec![] } else { vec![0.4, 0.75] } {
         tokio::time::sleep_until((began + first + Duration::from_secs(seconds).mul_f64(part)).into()).await;
         let mut chance = fastrand::Rng::with_seed(plan.seed.wrapping_mul(31) + (part * 100.0) as u64);
         ledger.say(format_args!("the service is killed"));
@@ -260,7 +266,7 @@
     clients: usize,
     seconds: u64,
 ) -> Result<ExitCode, String> {
-    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false);
+    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
     let dispatcher = beside::Dispatcher::start(&text, log.address, plan.verbose)?;
     beside::ready(dispatcher.address, &hosts).await?;
     let stage = Stage {
@@ -286,9 +292,16 @@
     let (broken, breaks) = ledger.breaks();
     breaks.iter().for_each(|what| println!("BROKEN {what}"));
     let share = answers.get("returned").copied().unwrap_or(0) as f64 / taken.max(1) as f64;
+    let used = dispatcher.used();
     println!("through the dispatcher: GETs {taken}, answered {answered}, returned {:.2} %", share * 100.0);
+    println!(
+        "it used {:.2} s of CPU, {:.0} us a GET, {} KB",
+        used.cpu_s,
+        used.cpu_s * 1e6 / taken as f64,
+        used.memory_kb
+    );
     let summary = json!({"proof": "xds-dispatcher", "seed": plan.seed, "held": broken == 0, "gets": taken,
-        "answers": answers, "returned_share": share});
+        "answers": answers, "returned_share": share, "cpu_s": used.cpu_s, "memory_kb": used.memory_kb});
     println!("{summary}");
     Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/lab/src/xds/service.rs
+++ b/crates/lab/src/xds/service.rs
@@ -20,11 +20,11 @@
 }
 
 /// What the control service of a proof run is told.
-pub fn operator_file(listen: &str, log: &str, verbose: bool) -> String {
+pub fn operator_file(listen: &str, log: &str, verbose: bool, drain_grace_ms: u64) -> String {
     format!(
         r#"
 (log (level {}))
-(control (name "lab") (listen "{listen}") (change-log "{log}") (drain-grace 250ms) (purge-grace 1s) (clock-error 5ms)
+(control (name "lab") (listen "{listen}") (change-log "{log}") (drain-grace {drain_grace_ms}ms) (purge-grace 1s) (clock-error 5ms)
   (reports-every 250ms) (most-proxies 2000))
 (footprint (zone "hub") (zone "edge") (here "edge") (transfer-pace 10MB/s)
   (cache-start (share 22%) (warm-within 3s)) (parent-start (share 8%) (warm-within 3s)) (purged-within 6s))
@@ -39,11 +39,11 @@
 }
 
 impl Service {
-    pub fn new(log: SocketAddr, verbose: bool) -> Result<Self, String> {
+    pub fn new(log: SocketAddr, verbose: bool, drain_grace_ms: u64) -> Result<Self, String> {
         let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
         let address = free.map_err(|e| e.to_string())?;
         let file = std::env::temp_dir().join(format!("myrtlegauge-lab-{}.sexp", std::process::id()));
-        let text = operator_file(&address.to_string(), &log.to_string(), verbose);
+        let text = operator_file(&address.to_string(), &log.to_string(), verbose, drain_grace_ms);
         let written = std::fs::File::create(&file).and_then(|mut out| out.write_all(text.as_bytes()));
         written.map_err(|e| format!("{}: {e}", file.display()))?;
         Ok(Self { address, file, child: None, verbose })
@@ -81,15 +81,19 @@
     }
 
     pub fn used(&self) -> Used {
-        let id = self.child.as_ref().map_or(0, Child::id);
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-        let ticks = stat.rsplit(')').next().unwrap_or_default().split_whitespace().skip(11).take(2);
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        Used {
-            cpu_s: ticks.filter_map(|n| n.parse::<f64>().ok()).sum::<f64>() / 100.0,
-            memory_kb: memory.and_then(|m| m.split_whitespace().next()?.parse().ok()).unwrap_or(0),
-        }
+        used(self.child.as_ref().map_or(0, Child::id))
+    }
+}
+
+/// What the system says of a process; nothing of one that is not there.
+pub fn used(id: u32) -> Used {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let ticks = stat.rsplit(')').next().unwrap_or_default().split_whitespace().skip(11).take(2);
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    Used {
+        cpu_s: ticks.filter_map(|n| n.parse::<f64>().ok()).sum::<f64>() / 100.0,
+        memory_kb: memory.and_then(|m| m.split_whitespace().next()?.parse().ok()).unwrap_or(0),
     }
 }
 
