A model of the fleets and myrtlegauge experiment: the module beside two baselines in virtual time

Sockets on one machine reach a dozen caches; designs must be tried at the sizes that users plan for.

crates/model plays locations, caches with stores and cold starts, parents, an origin and clients around the module itself, with faults as a script and an oracle apart from it for the five rules; the same seed gives the same run on any number of threads.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -58,6 +58,22 @@
         #[arg(long, default_value_t = 2000)]
         patience_ms: u64,
     },
+    /// Play an experiment in the model of the fleets, over several seeds on all cores.
+    ///
+    /// Without a file the built-in one runs, a Saturday in small. The table has means with their 95% confidence, and says
+    /// whether the difference to a baseline may be noise. Exit code 1 if the module broke a rule.
+    Experiment {
+        file: Option<PathBuf>,
+        /// Runs of each brain, whatever the file says.
+        #[arg(long)]
+        seeds: Option<u64>,
+        /// Write each run's figures there, as CSV.
+        #[arg(long)]
+        csv: Option<PathBuf>,
+        /// Print one JSON object instead of the table.
+        #[arg(long)]
+        json: bool,
+    },
     /// Check a whole operator file; every fault is told as FILE:LINE:COLUMN, exit code 2 if there is one.
     Check {
         #[arg(required_unless_present = "explain")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 use arguments::{Arguments, Command};
 use clap::{CommandFactory, Parser};
 use myrtlegauge_control::shown;
+use myrtlegauge_model as model;
 use myrtlegauge_operator as operator;
 use std::path::Path;
 use std::process::ExitCode;
@@ -28,6 +29,9 @@
             let status = shown::ask(address, Duration::from_millis(patience_ms));
             ended(status.map(|status| print!("{}", shown::print(&status))))
         }
+        Command::Experiment { file, seeds, csv, json } => {
+            experiment(file.as_deref(), seeds, csv.as_deref(), json)
+        }
         Command::Check { explain: true, .. } => {
             let mut text = String::new();
             operator::form::explain(&operator::file::FILE, 0, &mut text);
@@ -64,3 +68,45 @@
     let text = std::fs::read_to_string(path).map_err(|e| eprintln!("{name}: {e}"))?;
     operator::read(&text).map_err(|faults| faults.iter().for_each(|fault| eprintln!("{name}:{fault}")))
 }
+
+/// Plays an experiment and tells what came of it.
+fn experiment(file: Option<&Path>, seeds: Option<u64>, csv: Option<&Path>, json: bool) -> ExitCode {
+    let (name, text) = match file {
+        Some(path) => (path.display().to_string(), std::fs::read_to_string(path).map_err(|e| e.to_string())),
+        None => ("the built-in experiment".to_owned(), Ok(model::experiment::BUILT_IN.to_owned())),
+    };
+    let read = text.and_then(|text| {
+        let lines = |faults: Vec<operator::Fault>| {
+            faults.iter().map(|fault| format!("{name}:{fault}")).collect::<Vec<_>>().join("\n")
+        };
+        model::experiment::read(&text).map_err(lines)
+    });
+    let mut told = match read {
+        Ok(told) => told,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(UNUSABLE);
+        }
+    };
+    told.seeds = seeds.unwrap_or(told.seeds).max(1);
+    let results = model::experiment::run(&told, |brain, seed| {
+        if !json {
+            eprintln!("played {} seed {seed}", brain.name());
+        }
+    });
+    let results = match results {
+        Ok(results) => results,
+        Err(fault) => return ended(Err(fault)),
+    };
+    if let Some(path) = csv
+        && let Err(e) = std::fs::write(path, results.csv())
+    {
+        return ended(Err(format!("{}: {e}", path.display())));
+    }
+    if json {
+        println!("{}", results.json());
+    } else {
+        print!("{}", results.table());
+    }
+    if results.broken() > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
--- a/crates/client/tests/sockets.rs
+++ b/crates/client/tests/sockets.rs
@@ -22,6 +22,8 @@
     Answers(Vec<u8>),
     /// Reads and says nothing.
     Silent,
+    /// Refuses the first request when its client has called it off already, and answers those after it.
+    RefusesLate,
 }
 
 struct Scripted {
@@ -99,6 +101,15 @@
                 }
             }
         }
+        Plays::RefusesLate => {
+            let Some(first) = request(&mut stream) else { return };
+            std::thread::sleep(ms(80));
+            let refusal = answer(first, "Status: 503\r\nBack-Off-Ms: 5000\r\n\r\n");
+            if stream.write_all(&refusal).is_err() {
+                return;
+            }
+            play(stream, &Plays::Answers(FINE.into()), whole);
+        }
         Plays::Silent => {
             while request(&mut stream).is_some() {
                 whole.fetch_add(1, Ordering::SeqCst);
@@ -236,6 +247,24 @@
     assert_eq!(client.in_hand(), 0);
 }
 
+#[test]
+fn a_refusal_that_crosses_an_abort_ends_nothing_else() {
+    let late = Scripted::start(vec![Plays::RefusesLate]);
+    let mut client = Client::new(services(), vec![late.place(0)], 4).unwrap();
+    let ticket = client.ask(get(1, 1500));
+    let began = Instant::now();
+    while began.elapsed() < ms(30) {
+        client.turn(ms(5)).unwrap();
+    }
+    client.abandon(ticket);
+    while began.elapsed() < ms(150) {
+        client.turn(ms(5)).unwrap();
+    }
+    // It was called off: the refusal is nobody's, and the connection lives.
+    assert_eq!(client.next_outcome(), None);
+    assert_eq!(outcome(&mut client, get(1, 1500)).0, returned());
+}
+
 #[test]
 fn a_dropped_call_is_called_off_and_its_late_answer_harms_nothing() {
     let good = Scripted::start(vec![Plays::Answers(FINE.into())]);
