--- a/crates/client/src/decide.rs
+++ b/crates/client/src/decide.rs
@@ -277,15 +277,6 @@
         self.calls.get(call).map(|call| call.service)
     }
 
-    pub fn links(&self) -> usize {
-        self.links.len()
-    }
-
-    /// What is left of the share of retries at a dispatcher.
-    pub fn earned(&self, place: usize) -> f64 {
-        self.places[place].earned
-    }
-
     fn out_at(&self, place: usize) -> usize {
         self.links.iter().filter(|(_, link)| link.place == place).map(|(_, link)| link.open.len()).sum()
     }
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -249,10 +249,6 @@
         self.ready = true;
     }
 
-    pub fn is_ready(&self) -> bool {
-        self.ready
-    }
-
     /// Publishes a resource, or takes it away. Urgent: it tells of a drain, a purge, or a host that is gone.
     pub fn put(&mut self, kind: Kind, name: &str, resource: Option<Resource>, urgent: bool) {
         let Some(name) = self.shelf.put(kind, name, resource) else { return };
@@ -366,10 +362,6 @@
         self.streams.get(id).is_none_or(|stream| stream.topics.iter().all(Topic::quiet))
     }
 
-    pub fn streams(&self) -> impl Iterator<Item = StreamId> {
-        self.streams.iter().map(|(id, _)| id)
-    }
-
     /// The next message of a lane for a stream that has room for one; its nonce bears the time as given.
     pub fn next(&mut self, id: StreamId, lane: Lane, now: Duration, unix_ms: u64) -> Option<Message> {
         let Self { shelf, streams, lease, ready, .. } = self;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -136,10 +136,6 @@
         &self.clock
     }
 
-    pub fn reading(&self, now: Duration) -> Reading {
-        self.router.reading(now)
-    }
-
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.services.iter().map(|service| service.name.as_str())
     }
--- a/crates/lab/src/xds/proxy.rs
+++ b/crates/lab/src/xds/proxy.rs
@@ -51,7 +51,6 @@
     returned: u64,
     errored: u64,
     fills: u64,
-    bad: u64,
 }
 
 pub struct Proxy {
@@ -436,7 +435,6 @@
         seen.returned += u64::from(returned);
         seen.errored += u64::from(!returned);
         seen.fills += u64::from(filled == Some(true));
-        seen.bad += 0;
     }
 
     /// Reports load as it is asked to, until the stream ends; then again.
@@ -475,7 +473,8 @@
                 load_metric_stats: vec![endpoint::EndpointLoadMetricStats {
                     metric_name: "fills/product-photo".into(),
                     num_requests_finished_with_metric: seen.fills,
-                    total_metric_value: seen.bad as f64,
+                    // Stand-in fills are all in time.
+                    total_metric_value: 0.0,
                 }],
                 ..Default::default()
             });
