--- a/crates/wire/src/protocol/fastcgi.rs
+++ b/crates/wire/src/protocol/fastcgi.rs
@@ -4,8 +4,8 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::time::Duration;
 
-pub(super) const VERSION: u8 = 1;
-pub(super) const HEADER: usize = 8;
+const VERSION: u8 = 1;
+const HEADER: usize = 8;
 pub(super) const RESPONDER: u16 = 1;
 pub(super) const KEEP_CONN: u8 = 1;
 
@@ -111,20 +111,7 @@
         open: &[(u16, T)],
         now: Duration,
     ) -> Result<Option<Message>, Fault> {
-        while inbound.len() >= HEADER {
-            if inbound[0] != VERSION {
-                return Err(Fault("a FastCGI record of another version"));
-            }
-            let (kind, number) = (inbound[1], u16::from_be_bytes([inbound[2], inbound[3]]));
-            let long = usize::from(u16::from_be_bytes([inbound[4], inbound[5]]));
-            let whole = HEADER + long + usize::from(inbound[6]);
-            if inbound.len() < whole {
-                inbound.reserve(whole - inbound.len());
-                return Ok(None);
-            }
-            let mut record = inbound.split_to(whole).freeze();
-            record.advance(HEADER);
-            record.truncate(long);
+        while let Some((kind, number, record)) = cut(inbound)? {
             let message = if number == 0 {
                 management(kind, record)?
             } else {
@@ -220,6 +207,27 @@
     }
 }
 
+/// Cuts the next whole record out of what came in: its type, its request's number and its content.
+pub(super) fn cut(inbound: &mut BytesMut) -> Result<Option<(u8, u16, Bytes)>, Fault> {
+    if inbound.len() < HEADER {
+        return Ok(None);
+    }
+    if inbound[0] != VERSION {
+        return Err(Fault("a FastCGI record of another version"));
+    }
+    let (kind, number) = (inbound[1], u16::from_be_bytes([inbound[2], inbound[3]]));
+    let long = usize::from(u16::from_be_bytes([inbound[4], inbound[5]]));
+    let whole = HEADER + long + usize::from(inbound[6]);
+    if inbound.len() < whole {
+        inbound.reserve(whole - inbound.len());
+        return Ok(None);
+    }
+    let mut record = inbound.split_to(whole).freeze();
+    record.advance(HEADER);
+    record.truncate(long);
+    Ok(Some((kind, number, record)))
+}
+
 /// Reads name-value pairs; none where they don't fit their record.
 fn pairs(mut params: Bytes, mut each: impl FnMut(Bytes, Bytes)) -> Option<()> {
     let length = |params: &mut Bytes| {
--- a/crates/wire/src/protocol/fastcgi_client.rs
+++ b/crates/wire/src/protocol/fastcgi_client.rs
@@ -2,8 +2,8 @@
 
 use super::Fault;
 use super::fastcgi::{
-    ABORT_REQUEST, BEGIN_REQUEST, COMPLETE, END_REQUEST, HEADER, KEEP_CONN, OVERLOADED, PARAMS, RECORD_MOST,
-    RESPONDER, STDIN, STDOUT, VERSION, header,
+    self, ABORT_REQUEST, BEGIN_REQUEST, COMPLETE, END_REQUEST, KEEP_CONN, OVERLOADED, PARAMS, RECORD_MOST,
+    RESPONDER, STDIN, STDOUT, header,
 };
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
@@ -76,20 +76,7 @@
         inbound: &mut BytesMut,
         open: impl Fn(u16) -> bool,
     ) -> Result<Option<Answer>, Fault> {
-        while inbound.len() >= HEADER {
-            if inbound[0] != VERSION {
-                return Err(Fault("a FastCGI record of another version"));
-            }
-            let (kind, number) = (inbound[1], u16::from_be_bytes([inbound[2], inbound[3]]));
-            let long = usize::from(u16::from_be_bytes([inbound[4], inbound[5]]));
-            let whole = HEADER + long + usize::from(inbound[6]);
-            if inbound.len() < whole {
-                inbound.reserve(whole - inbound.len());
-                return Ok(None);
-            }
-            let mut record = inbound.split_to(whole).freeze();
-            record.advance(HEADER);
-            record.truncate(long);
+        while let Some((kind, number, record)) = fastcgi::cut(inbound)? {
             if !matches!(kind, STDOUT | END_REQUEST) || number == 0 {
                 continue;
             }
