Five repeats become one each: unwanted names, oldest copy, opening time, stream, look-up

A reading of the whole change found the same lines twice: letting go of names that are wanted no more (in delta once for each dropped name, now once a request), the oldest copy that will do in the model, when a dispatcher may be tried again in the client, the two forms of a stand-in proxy's stream, and a filter in the follower that changed nothing.

The dispatcher and the module are as they were.

--- a/crates/client/src/decide.rs
+++ b/crates/client/src/decide.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// When it may be tried again after a loss or failures; its own pauses stand apart.
+    fn opens(&self) -> Duration {
+        self.returns_at.max(if self.failed() { self.rests_until } else { ZERO })
+    }
+
     /// GETs that may be out there at once. Guards one that has just come back from all that waited for it.
     fn room(&self, now: Duration) -> usize {
         if self.failed() {
@@ -258,11 +263,7 @@
     fn opens_at(&self) -> Option<Duration> {
         let step = |known: &Known| known.back_since.map(|_| self.now + STEP / 2);
         let at = |known: &Known| {
-            let opens = known.returns_at.max(known.pause_until).max(if known.failed() {
-                known.rests_until
-            } else {
-                ZERO
-            });
+            let opens = known.opens().max(known.pause_until);
             Some(opens).filter(|&opens| opens > self.now).or(step(known))
         };
         self.places.iter().filter_map(at).min()
@@ -451,7 +452,7 @@
                 paused = Some(paused.map_or(known.pause_until, |at| at.min(known.pause_until)));
                 continue;
             }
-            let opens = known.returns_at.max(if known.failed() { known.rests_until } else { ZERO });
+            let opens = known.opens();
             if opens > now {
                 soonest = Some(soonest.map_or(opens, |at| at.min(opens)));
                 continue;
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -161,6 +161,16 @@
         }
     }
 
+    /// Forgets what is wanted no more.
+    fn let_go(&mut self) {
+        let Self { all, names, held, owed, urgent, refused, .. } = self;
+        let wants = |name: &Rc<str>| *all || names.contains(name);
+        held.retain(|name, _| wants(name));
+        refused.retain(|name, _| wants(name));
+        owed.retain(|name| wants(name));
+        urgent.retain(|name| wants(name));
+    }
+
     fn quiet(&self) -> bool {
         !self.reply && self.owed.is_empty() && self.urgent.is_empty()
     }
@@ -482,12 +492,7 @@
     let before = std::mem::replace(&mut topic.names, names);
     let had_all = std::mem::replace(&mut topic.all, all);
     topic.reply |= first && (all || !topic.names.is_empty());
-    let Topic { names, held, owed, urgent, refused, .. } = topic;
-    let wants = |name: &Rc<str>| all || names.contains(name);
-    held.retain(|name, _| wants(name));
-    refused.retain(|name, _| wants(name));
-    owed.retain(|name| wants(name));
-    urgent.retain(|name| wants(name));
+    topic.let_go();
     let new: Vec<_> = shelf.all(kind).filter(|(name, _)| topic.wants(name)).collect();
     if first
         && !request.version.is_empty()
@@ -525,12 +530,9 @@
             topic.all = false;
         }
         topic.names.remove(&**name);
-        let Topic { all, names, held, owed, urgent, refused, .. } = topic;
-        let wants = |name: &Rc<str>| *all || names.contains(name);
-        held.retain(|name, _| wants(name));
-        refused.retain(|name, _| wants(name));
-        owed.retain(|name| wants(name));
-        urgent.retain(|name| wants(name));
+    }
+    if !request.dropped.is_empty() {
+        topic.let_go();
     }
     let star = request.names.iter().any(|name| name == "*") || first && request.names.is_empty();
     let starts = star && !topic.all;
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -245,8 +245,8 @@
         let terms = self.terms.get(asked.service).ok_or(Shed::UnknownService)?;
         self.map.spared = terms.spared;
         let key = reading::key(asked.object, asked.part);
-        let index = |name: Option<&str>| self.lines.iter().position(|line| Some(line.name.as_str()) == name);
-        let [tried_cache, tried_source] = tried.map(|name| index(name.filter(|_| name.is_some())));
+        let index = |name: &str| self.lines.iter().position(|line| line.name == name);
+        let [tried_cache, tried_source] = tried.map(|name| name.and_then(index));
         let cache = self.map.cache(key, tried_cache).ok_or(Shed::NoHost)?.host;
         let room = |share: &Share| f64::from(out(&self.lines[share.host].name)) < share.fills;
         let source = if terms.passed_on {
--- a/crates/lab/src/xds/proxy.rs
+++ b/crates/lab/src/xds/proxy.rs
@@ -80,6 +80,15 @@
     unix_ms() as u64
 }
 
+/// A stream of requests with its first ones.
+async fn begun<Q>(begin: Vec<Q>) -> Result<(mpsc::Sender<Q>, ReceiverStream<Q>), String> {
+    let (out, requests) = mpsc::channel(64);
+    for request in begin {
+        out.send(request).await.map_err(|e| e.to_string())?;
+    }
+    Ok((out, ReceiverStream::new(requests)))
+}
+
 impl Proxy {
     pub fn new(
         index: usize,
@@ -186,39 +195,30 @@
         let said = |status: tonic::Status| status.to_string();
         let form = self.session().form();
         if form == Form::Whole {
-            let (out, requests) = mpsc::channel(64);
             let begin = self.session().begin_whole();
-            for request in begin {
-                out.send(request).await.map_err(|e| e.to_string())?;
-            }
-            let mut answers = client
-                .stream_aggregated_resources(ReceiverStream::new(requests))
-                .await
-                .map_err(said)?
-                .into_inner();
-            while let Some(response) = answers.message().await.map_err(said)? {
-                let told = Told::from(response);
-                let refused = self.take(&told).await;
-                let answer = self.session().answer_whole(&told, refused);
-                out.send(answer).await.map_err(|e| e.to_string())?;
-            }
+            let (out, requests) = begun(begin).await?;
+            let answers = client.stream_aggregated_resources(requests).await.map_err(said)?.into_inner();
+            self.converse(&out, answers, Session::answer_whole).await
         } else {
-            let (out, requests) = mpsc::channel(64);
             let begin = self.session().begin_delta();
-            for request in begin {
-                out.send(request).await.map_err(|e| e.to_string())?;
-            }
-            let mut answers = client
-                .delta_aggregated_resources(ReceiverStream::new(requests))
-                .await
-                .map_err(said)?
-                .into_inner();
-            while let Some(response) = answers.message().await.map_err(said)? {
-                let told = Told::from(response);
-                let refused = self.take(&told).await;
-                let answer = self.session().answer_delta(&told, refused);
-                out.send(answer).await.map_err(|e| e.to_string())?;
-            }
+            let (out, requests) = begun(begin).await?;
+            let answers = client.delta_aggregated_resources(requests).await.map_err(said)?.into_inner();
+            self.converse(&out, answers, Session::answer_delta).await
+        }
+    }
+
+    /// Takes and answers all that comes, until the stream ends.
+    async fn converse<Q, A: Into<Told>>(
+        &self,
+        out: &mpsc::Sender<Q>,
+        mut answers: tonic::Streaming<A>,
+        answer: fn(&Session, &Told, Option<String>) -> Q,
+    ) -> Result<(), String> {
+        while let Some(response) = answers.message().await.map_err(|e| e.to_string())? {
+            let told = response.into();
+            let refused = self.take(&told).await;
+            let answer = answer(&self.session(), &told, refused);
+            out.send(answer).await.map_err(|e| e.to_string())?;
         }
         Ok(())
     }
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -180,6 +180,15 @@
     out: BTreeMap<Place, Serial>,
 }
 
+/// The oldest copy that will do: as told, else the fresh time of the service, or any age where it has none.
+fn oldest(to: &Forward, fresh: Duration) -> Duration {
+    match (to.accepted_age.is_zero(), fresh.is_zero()) {
+        (false, _) => to.accepted_age,
+        (true, false) => fresh,
+        (true, true) => Duration::MAX,
+    }
+}
+
 /// What a run came to.
 #[derive(Clone, Debug)]
 pub struct Figures {
@@ -562,11 +571,7 @@
             return self.transfer(to.host, serial);
         }
         let (key, fresh) = (key(asked.object, PART), service.fresh);
-        let oldest = match (to.accepted_age.is_zero(), fresh.is_zero()) {
-            (false, _) => to.accepted_age,
-            (true, false) => fresh,
-            (true, true) => Duration::MAX,
-        };
+        let oldest = oldest(&to, fresh);
         let since = self.purged_since(asked.object);
         let born = self.hosts[to.host].store.touch(key, to.keep, since);
         if let Some(born) = born.filter(|born| self.now - *born <= oldest) {
@@ -610,11 +615,7 @@
         }
         let Some(asked) = self.gets.get(&sending.get) else { return };
         let fresh = self.world.services[asked.service].fresh;
-        let oldest = match (to.accepted_age.is_zero(), fresh.is_zero()) {
-            (false, _) => to.accepted_age,
-            (true, false) => fresh,
-            (true, true) => Duration::MAX,
-        };
+        let oldest = oldest(&to, fresh);
         let key = key(asked.object, PART);
         let size = asked.size;
         let since = self.purged_since(asked.object);
