A test shows the program as the platform starts it opens one listener and nothing else

Change: a test starts target's myrtlegauge without arguments, as run does, against a stand-in change log on loopback, and reads /proc: libc mapped, no child in any task, every socket found in net/tcp and none in tcp6, udp6 or unix, exactly one in LISTEN, and no descriptor on a file but pipes, anonymous inodes and /dev. deploy/balancer.toml already asks for exactly this; unchanged.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -132,3 +132,92 @@
     }
     assert_eq!(service.0.wait().unwrap().code(), Some(0));
 }
+
+/// The inodes of the sockets that a table of `/proc/PID/net` lists, with their state.
+fn sockets_in(id: u32, table: &str) -> Vec<(u64, String)> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/net/{table}")).unwrap_or_default();
+    let inode = if table == "unix" { 6 } else { 9 };
+    let state = if table == "unix" { 5 } else { 3 };
+    let row = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        Some((fields.get(inode)?.parse().ok()?, (*fields.get(state)?).to_owned()))
+    };
+    text.lines().skip(1).filter_map(row).collect()
+}
+
+/// The platform's terms for `run` in `deploy/balancer.toml`: without arguments the program is one dynamically linked
+/// process with no child, whose sockets are IPv4 TCP alone, one of them listening, and which opens no lasting file.
+/// The control service, its gRPC listeners and anything durable stay off.
+#[test]
+fn the_program_as_the_platform_starts_it_opens_nothing_else() {
+    let changelog = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "aim_ms": 500.0, "aim_stretch": 1.6, "deadline_ms": 5000.0,
+            "effect": effect, "group": "zone", "key_ttl_ms": 5000.0})
+    };
+    let told = serde_json::json!({
+        "name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+        "changelog": changelog.local_addr().unwrap().to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"seq": 0, "results": []},
+        "settings": {
+            "balancers": 2, "my_zone": 1, "discovery": "pushed", "weights": "rough", "resolution_ms": 2.0,
+            "zones": ["hub", "edge"], "kinds": ["standard", "parent", "origin"],
+            "classes": [class("video", "idempotent"), class("confirm", "at_most_once")],
+            "domain": {"count_by_zone": [0, 2], "hub_of": [0, 0], "shield_kind": 1, "master_kind": 2,
+                "flow_kb_per_s": 10000.0, "shares_fills": false, "pass_through_ok": true, "note_level": "all",
+                "lifetime_by_class_ms": [0.0, 0.0], "grace_for_ms": [0.0, 0.0], "pass_on": [false, true],
+                "parent_floor": 0.08, "parent_cold_ms": 20000.0, "parent_breaks_at": 2.0,
+                "gone_everywhere_ms": 6000.0, "obey_after_ms": 1000.0},
+            "limits": {"cancel": true, "retry_after": true, "max_retry_after_ms": 2000.0, "max_attempts": 8,
+                "streams_per_conn": 100, "connect_timeout_ms": 400.0, "conn_idle_ms": 15000.0},
+            "obligations": {"start_capacity": 0.22, "warm_within_ms": 17000.0, "fall_multiple": 2.0,
+                "fall_ms": 1000.0}
+        }
+    });
+    let file = File::new("router.json", &told.to_string());
+    let mut child = program();
+    child.env("ROUTER_CONFIG", file.path()).stdout(Stdio::null()).stderr(Stdio::null());
+    let dispatcher = Ends(child.spawn().unwrap());
+    let id = dispatcher.0.id();
+    // Up: its listener answers, and it has come to the change log.
+    let end = Instant::now() + Duration::from_secs(10);
+    while std::net::TcpStream::connect(listen).is_err() {
+        assert!(Instant::now() < end, "the dispatcher does not listen");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (_feed, _) = changelog.accept().unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+
+    let maps = std::fs::read_to_string(format!("/proc/{id}/maps")).unwrap();
+    assert!(maps.contains("libc.so"), "linked dynamically against the C library");
+    let children: String = std::fs::read_dir(format!("/proc/{id}/task"))
+        .unwrap()
+        .map(|task| std::fs::read_to_string(task.unwrap().path().join("children")).unwrap_or_default())
+        .collect();
+    assert_eq!(children.trim(), "", "no child process");
+
+    let (tcp, tcp6, udp6, unix) =
+        (sockets_in(id, "tcp"), sockets_in(id, "tcp6"), sockets_in(id, "udp6"), sockets_in(id, "unix"));
+    let mut held = Vec::new();
+    for entry in std::fs::read_dir(format!("/proc/{id}/fd")).unwrap() {
+        let target = std::fs::read_link(entry.unwrap().path()).unwrap().display().to_string();
+        if let Some(inode) = target.strip_prefix("socket:[").and_then(|rest| rest.strip_suffix(']')) {
+            let inode: u64 = inode.parse().unwrap();
+            let found =
+                |table: &[(u64, String)]| table.iter().find(|(i, _)| *i == inode).map(|(_, s)| s.clone());
+            assert_eq!(
+                (found(&tcp6), found(&udp6), found(&unix)),
+                (None, None, None),
+                "IPv4 alone: {target}"
+            );
+            held.push(found(&tcp).unwrap_or_else(|| panic!("a socket that is not TCP over IPv4: {target}")));
+        } else {
+            let allowed = ["anon_inode:", "pipe:", "/dev/null", "/dev/pts/"];
+            assert!(allowed.iter().any(|start| target.starts_with(start)), "a file is held open: {target}");
+        }
+    }
+    // 0A is a listening socket in the kernel's table: the one the platform named, and no other.
+    assert_eq!(held.iter().filter(|state| *state == "0A").count(), 1, "{held:?}");
+    assert!(held.len() >= 2, "the listener and the change log: {held:?}");
+}
