A GET that is shed or errored is logged by its id, twenty lines a second at most

Change: pay() writes one line with key-values for each GET not returned: id, class, forwards, time in hand, how it ended, the time given to come back, and how many such lines went unsaid before. A budget of twenty lines a second bounds what an overload spends on its own log.

--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -127,10 +127,28 @@
             Answer::Shed(_) => self.counters.shed += 1,
             _ => self.counters.errored += 1,
         }
+        if !returned {
+            self.log_end(place, answer);
+        }
         self.write_answer(key, number, answer);
         true
     }
 
+    /// One line, by the request's id, on a GET that was not returned: what it was, how far it got, how it ended.
+    fn log_end(&mut self, place: Place, answer: &Answer) {
+        let Some(unsaid) = self.may_log_end() else { return };
+        let hand = self.hands.at(place);
+        let (id, class, hops) = (String::from_utf8_lossy(&hand.request.id), hand.get.ds, hand.hops);
+        let in_hand = self.now.saturating_sub(hand.until.saturating_sub(hand.get.viewer_timeout));
+        let (end, back_ms) = match answer {
+            Answer::Shed(after) => ("shed", after.map_or(0, |after| after.as_millis())),
+            Answer::Errored => ("errored", 0),
+            _ => ("unusable", 0),
+        };
+        let ms = in_hand.as_millis();
+        log::info!(id:%, class, forwards = hops, in_hand_ms = ms, end, retry_after_ms = back_ms, unsaid; "not returned");
+    }
+
     fn abandon(&mut self, place: Place) {
         if self.hands.settle(place).is_some() {
             self.counters.abandoned += 1;
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -29,6 +29,10 @@
 const IDLE_PART: f64 = 0.8;
 /// At most one line on faults in so long.
 const LOG_EVERY: Duration = Duration::from_millis(1000);
+/// Lines on GETs that were shed or errored, at most, in each `LOG_EVERY`: enough to follow some by id through the
+/// dispatchers that touched them, few enough that an overload is not made worse by its own log (a line costs some
+/// microseconds of the one core).
+const ENDS_LOGGED: u32 = 20;
 /// How long GETs are still taken once a restart is asked for: the page has them come for 0.6 s.
 const STOPS_AFTER: Duration = Duration::from_millis(1000);
 /// Parts of the descriptors for clients and for hosts; the rest is for the loop, the log and the change log.
@@ -106,6 +110,10 @@
     /// When the next fault may be logged, and how many went by without.
     logs_at: Duration,
     unlogged: u64,
+    /// The same for lines on GETs not returned: when the budget is given anew, what is left of it, what went unsaid.
+    ends_at: Duration,
+    ends_left: u32,
+    ends_unlogged: u64,
 }
 
 impl Manners {
@@ -168,6 +176,9 @@
             stops_at: None,
             logs_at: Duration::ZERO,
             unlogged: 0,
+            ends_at: Duration::ZERO,
+            ends_left: 0,
+            ends_unlogged: 0,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
             most_buffered: (room.memory as f64 * BUFFERS_PART) as usize,
@@ -209,6 +220,19 @@
         self.logs_at = self.now + LOG_EVERY;
     }
 
+    /// Whether a line on a GET not returned may be written now, and how many went unsaid before it.
+    pub fn may_log_end(&mut self) -> Option<u64> {
+        if self.now >= self.ends_at {
+            (self.ends_at, self.ends_left) = (self.now + LOG_EVERY, ENDS_LOGGED);
+        }
+        if self.ends_left == 0 {
+            self.ends_unlogged += 1;
+            return None;
+        }
+        self.ends_left -= 1;
+        Some(std::mem::take(&mut self.ends_unlogged))
+    }
+
     pub fn next_due(&self) -> Duration {
         if !self.stirred.is_empty() && !self.is_full_of_requests() {
             return Duration::ZERO;
