A GET returned after its class's objective is logged with its host, source and fill wait

So confirm's loss is lateness, which nothing logged.

Change: where a host's answer is to be returned and the GET has been in hand longer than its class's objective, one line under the same budget: id, class, forwards, time in hand, the forward's own time, host, source, and the fill wait that the host reported.

--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -57,6 +57,8 @@
     pub forwards: u32,
     /// The longest that any client waits.
     pub longest: Duration,
+    /// Each class's latency objective, by its index; a GET returned later is logged.
+    pub aims: Vec<Duration>,
 }
 
 /// What falls due for a forward or a connection.
@@ -118,8 +120,11 @@
 
 impl Manners {
     pub fn read(told: &Values) -> Self {
-        let services = told.get("classes").and_then(|v| v.as_array()).into_iter().flatten();
-        let longest = services.filter_map(|ds| ds.get("deadline_ms")?.as_f64()).fold(0.0, f64::max);
+        let services = || told.get("classes").and_then(|v| v.as_array()).into_iter().flatten();
+        let longest = services().filter_map(|ds| ds.get("deadline_ms")?.as_f64()).fold(0.0, f64::max);
+        let aims = services()
+            .map(|ds| span(ds.get("aim_ms").and_then(|v| v.as_f64()).unwrap_or(f64::MAX)))
+            .collect();
         Self {
             streams: number(told, "limits.streams_per_conn").map_or(1, |n| n as usize).max(1),
             idle: values::span(told, "limits.conn_idle_ms").unwrap_or_default().mul_f64(IDLE_PART),
@@ -127,6 +132,7 @@
             cancel: flag(told, "limits.cancel"),
             forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
             longest: span(if longest > 0.0 { longest } else { door::BUDGET_MOST }),
+            aims,
         }
     }
 }
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -306,6 +306,9 @@
             load: door::load(&answer),
         };
         if end == End::Returned && self.hands.at(place).owed.is_some() {
+            if let Some(out) = &out {
+                self.log_late(place, out, &told);
+            }
             match self.returned(place, &answer.word, answer.body) {
                 Some(answer) => _ = self.pay(place, &answer),
                 None => end = End::Spoilt,
@@ -314,6 +317,26 @@
         Some(self.outcome(place, &out?, end, told))
     }
 
+    /// One line, by the request's id, on a GET returned after its class's objective: where it went, from which
+    /// source, how long the host waited for that source, and how long the forward took.
+    fn log_late(&mut self, place: Place, out: &Out, told: &Told) {
+        let hand = self.hands.at(place);
+        let in_hand = self.now.saturating_sub(hand.until.saturating_sub(hand.get.viewer_timeout));
+        let aim = self.manners.aims.get(hand.get.ds).copied().unwrap_or(Duration::MAX);
+        if in_hand <= aim {
+            return;
+        }
+        let (id, class, hops) =
+            (String::from_utf8_lossy(&hand.request.id).into_owned(), hand.get.ds, hand.hops);
+        let Some(unsaid) = self.may_log_end() else { return };
+        let host = String::from_utf8_lossy(&self.hosts[out.to.host].name).into_owned();
+        let source = String::from_utf8_lossy(&self.hosts[out.to.source].name).into_owned();
+        let (in_hand_ms, forward_ms) = (in_hand.as_millis(), self.now.saturating_sub(out.at).as_millis());
+        let fill_ms = told.source_wait.as_millis();
+        log::info!(id:%, class, forwards = hops, in_hand_ms, forward_ms, host:%, source:%, fill_ms, unsaid;
+            "late");
+    }
+
     /// The next forward that ended here.
     pub fn next_ended(&mut self) -> Option<(Place, Outcome)> {
         while let Some((place, serial, end)) = self.ended.pop_front() {
