The budget of log lines on GETs not returned or late is a piece of its own with a test

Need: the budget of twenty lines a second guards against an overload made worse by its own log; house style asks that each defence have a test that fails without it.

Change: Lines in routing/desk takes the time and the budget and says whether a line may be written and how many went unsaid; the desk's lines on sheds, errors and late returns go through it.

--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -112,10 +112,34 @@
     /// When the next fault may be logged, and how many went by without.
     logs_at: Duration,
     unlogged: u64,
-    /// The same for lines on GETs not returned: when the budget is given anew, what is left of it, what went unsaid.
-    ends_at: Duration,
-    ends_left: u32,
-    ends_unlogged: u64,
+    /// Lines on GETs not returned or late.
+    ends: Lines,
+}
+
+/// A budget of log lines in each `LOG_EVERY`, and how many went unsaid since the last line said.
+///
+/// Guards against an overload made worse by its own log: every GET shed or late would be a line. It hurts when more
+/// than the budget's lines are wanted to follow a fault; the count of those unsaid stands in the next line.
+#[derive(Debug, Default, PartialEq)]
+pub struct Lines {
+    renewed_at: Duration,
+    left: u32,
+    unsaid: u64,
+}
+
+impl Lines {
+    /// Whether a line may be written now, and if so how many went unsaid before it.
+    pub fn take(&mut self, now: Duration, each: u32) -> Option<u64> {
+        if now >= self.renewed_at {
+            (self.renewed_at, self.left) = (now + LOG_EVERY, each);
+        }
+        if self.left == 0 {
+            self.unsaid += 1;
+            return None;
+        }
+        self.left -= 1;
+        Some(std::mem::take(&mut self.unsaid))
+    }
 }
 
 impl Manners {
@@ -182,9 +206,7 @@
             stops_at: None,
             logs_at: Duration::ZERO,
             unlogged: 0,
-            ends_at: Duration::ZERO,
-            ends_left: 0,
-            ends_unlogged: 0,
+            ends: Lines::default(),
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
             most_buffered: (room.memory as f64 * BUFFERS_PART) as usize,
@@ -228,15 +250,7 @@
 
     /// Whether a line on a GET not returned may be written now, and how many went unsaid before it.
     pub fn may_log_end(&mut self) -> Option<u64> {
-        if self.now >= self.ends_at {
-            (self.ends_at, self.ends_left) = (self.now + LOG_EVERY, ENDS_LOGGED);
-        }
-        if self.ends_left == 0 {
-            self.ends_unlogged += 1;
-            return None;
-        }
-        self.ends_left -= 1;
-        Some(std::mem::take(&mut self.ends_unlogged))
+        self.ends.take(self.now, ENDS_LOGGED)
     }
 
     pub fn next_due(&self) -> Duration {
@@ -328,3 +342,20 @@
         self.abandoned.pop_front()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Lines;
+    use std::time::Duration;
+
+    /// A thousand GETs shed in one second make twenty lines, and the first line of the next second counts the rest.
+    #[test]
+    fn an_overload_writes_a_bounded_number_of_lines_and_counts_the_others() {
+        let mut lines = Lines::default();
+        let said: Vec<Option<u64>> =
+            (0..1000).map(|n| lines.take(Duration::from_micros(n * 1000), 20)).collect();
+        assert_eq!(said.iter().filter(|said| said.is_some()).count(), 20);
+        assert_eq!(lines.take(Duration::from_millis(1000), 20), Some(980));
+        assert_eq!(lines.take(Duration::from_millis(1001), 20), Some(0));
+    }
+}
