--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -139,7 +139,7 @@
         let Some(unsaid) = self.may_log_end() else { return };
         let hand = self.hands.at(place);
         let (id, class, hops) = (String::from_utf8_lossy(&hand.request.id), hand.get.ds, hand.hops);
-        let in_hand = self.now.saturating_sub(hand.until.saturating_sub(hand.get.viewer_timeout));
+        let in_hand = hand.in_hand(self.now);
         let (end, back_ms) = match answer {
             Answer::Shed(after) => ("shed", after.map_or(0, |after| after.as_millis())),
             Answer::Errored => ("errored", 0),
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -321,14 +321,13 @@
     /// source, how long the host waited for that source, and how long the forward took.
     fn log_late(&mut self, place: Place, out: &Out, told: &Told) {
         let hand = self.hands.at(place);
-        let in_hand = self.now.saturating_sub(hand.until.saturating_sub(hand.get.viewer_timeout));
-        let aim = self.manners.aims.get(hand.get.ds).copied().unwrap_or(Duration::MAX);
-        if in_hand <= aim {
+        let (in_hand, ds) = (hand.in_hand(self.now), hand.get.ds);
+        if in_hand <= self.manners.aims.get(ds).copied().unwrap_or(Duration::MAX) {
             return;
         }
-        let (id, class, hops) =
-            (String::from_utf8_lossy(&hand.request.id).into_owned(), hand.get.ds, hand.hops);
         let Some(unsaid) = self.may_log_end() else { return };
+        let hand = self.hands.at(place);
+        let (id, class, hops) = (String::from_utf8_lossy(&hand.request.id).into_owned(), ds, hand.hops);
         let host = String::from_utf8_lossy(&self.hosts[out.to.host].name).into_owned();
         let source = String::from_utf8_lossy(&self.hosts[out.to.source].name).into_owned();
         let (in_hand_ms, forward_ms) = (in_hand.as_millis(), self.now.saturating_sub(out.at).as_millis());
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -21,6 +21,13 @@
     pub last: Option<(HostIndex, End, Note)>,
 }
 
+impl Hand {
+    /// How long it has been in hand: it was taken a viewer timeout before its `until`.
+    pub fn in_hand(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.until.saturating_sub(self.get.viewer_timeout))
+    }
+}
+
 /// A forward that is out.
 #[derive(Clone, Copy)]
 pub struct Out {
