Each dispatcher tells once a second how many forwards it sent to or filled from the origin

Whether it is asked for more, or slows with work that the dead dispatchers left behind, could not be told: nothing counted what each dispatcher sent there by time.

Change: the desk counts forwards whose host or fill source is of the origin's kind, and logs the count once in each second in which there was one ('from the origin forwards=N'). One line a second at most; summed over a fleet's logs by second it is what the origin was asked for.

--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -59,6 +59,8 @@
     pub longest: Duration,
     /// Each class's latency objective, by its index; a GET returned later is logged.
     pub aims: Vec<Duration>,
+    /// The kind of host that the origin is, as the settings number kinds.
+    pub origin_kind: Option<usize>,
 }
 
 /// What falls due for a forward or a connection.
@@ -114,6 +116,9 @@
     unlogged: u64,
     /// Lines on GETs not returned or late.
     ends: Lines,
+    /// Forwards sent in this `LOG_EVERY` that ask the origin for a fill or go to it, and when the count is told.
+    pub from_origin: u32,
+    from_origin_at: Duration,
 }
 
 /// A budget of log lines in each `LOG_EVERY`, and how many went unsaid since the last line said.
@@ -157,6 +162,7 @@
             forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
             longest: span(if longest > 0.0 { longest } else { door::BUDGET_MOST }),
             aims,
+            origin_kind: number(told, "domain.master_kind").ok().map(|n| n as usize),
         }
     }
 }
@@ -207,6 +213,8 @@
             logs_at: Duration::ZERO,
             unlogged: 0,
             ends: Lines::default(),
+            from_origin: 0,
+            from_origin_at: Duration::ZERO,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
             most_buffered: (room.memory as f64 * BUFFERS_PART) as usize,
@@ -249,6 +257,18 @@
     }
 
     /// Whether a line on a GET not returned may be written now, and how many went unsaid before it.
+    /// Tells once in each `LOG_EVERY` how many forwards went to the origin or filled from it, where any did: summed
+    /// over a fleet's logs by second, what the origin was asked for.
+    pub fn tell_origin(&mut self) {
+        if self.now < self.from_origin_at {
+            return;
+        }
+        if self.from_origin > 0 {
+            log::info!(forwards = std::mem::take(&mut self.from_origin); "from the origin");
+        }
+        self.from_origin_at = self.now + LOG_EVERY;
+    }
+
     pub fn may_log_end(&mut self) -> Option<u64> {
         self.ends.take(self.now, ENDS_LOGGED)
     }
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -33,6 +33,9 @@
         self.hands.at(place).out =
             Some(Out { hop, serial, at: now, until, link: link.ok(), ends_at: None, to: *f });
         self.counters.forwards += 1;
+        let kind = |host: HostIndex| Some(self.hosts[host].entry.kind);
+        self.from_origin +=
+            u32::from(kind(f.source) == self.manners.origin_kind || kind(f.host) == self.manners.origin_kind);
         self.dues.push(Reverse((until, Due::Forward(place, serial))));
         match link {
             Ok(key) => {
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -125,6 +125,7 @@
             counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
             desk.now = desk.clock.now();
         }
+        desk.tell_origin();
         if desk.tidy() {
             // What the module believes to be out at a host is what stands on its connections.
             for host in 0..desk.hosts.len() {
