The once-a-second line on the origin also counts answers filled from it

Need: the count of forwards to the origin names those that may fill from it, hits that renew behind included; it can't tell a rise in what the origin is asked from a rise in what it does.

Change: answers whose note says they were filled from the origin are counted beside it ('filled=M').

--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -118,6 +118,8 @@
     ends: Lines,
     /// Forwards sent in this `LOG_EVERY` that ask the origin for a fill or go to it, and when the count is told.
     pub from_origin: u32,
+    /// Answers in the same time that said they were filled from the origin.
+    pub filled_from_origin: u32,
     from_origin_at: Duration,
 }
 
@@ -214,6 +216,7 @@
             unlogged: 0,
             ends: Lines::default(),
             from_origin: 0,
+            filled_from_origin: 0,
             from_origin_at: Duration::ZERO,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
@@ -257,14 +260,17 @@
     }
 
     /// Whether a line on a GET not returned may be written now, and how many went unsaid before it.
-    /// Tells once in each `LOG_EVERY` how many forwards went to the origin or filled from it, where any did: summed
-    /// over a fleet's logs by second, what the origin was asked for.
+    /// Tells once in each `LOG_EVERY` how many forwards went to the origin or named it as their fill source, and how
+    /// many answers said they were filled from it, where any: summed over a fleet's logs by second, what the origin
+    /// was asked for and what it did.
     pub fn tell_origin(&mut self) {
         if self.now < self.from_origin_at {
             return;
         }
-        if self.from_origin > 0 {
-            log::info!(forwards = std::mem::take(&mut self.from_origin); "from the origin");
+        if self.from_origin > 0 || self.filled_from_origin > 0 {
+            let (forwards, filled) =
+                (std::mem::take(&mut self.from_origin), std::mem::take(&mut self.filled_from_origin));
+            log::info!(forwards, filled; "from the origin");
         }
         self.from_origin_at = self.now + LOG_EVERY;
     }
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -353,6 +353,7 @@
     fn outcome(&mut self, place: Place, out: &Out, end: End, told: Told) -> Outcome {
         let Told { note, source_wait, load } = told;
         self.counters.ended(end, note);
+        self.filled_from_origin += u32::from(note == Note::FilledFromOrigin);
         let hand = self.hands.at(place);
         hand.last = Some((out.to.host, end, note));
         let closed = hand.owed.is_none();
