Lines on faults take the same budget as lines on GETs; a doc comment back on its function

Change: fault() asks Lines with a budget of one, and its two fields are gone. It renews at the same moment, says the same line and counts the same ones unsaid as before. Each comment stands on its own function.

--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -27,7 +27,7 @@
 /// Part of a host's idle time after which a connection is closed here, so that nothing is written to one that the
 /// host is closing.
 const IDLE_PART: f64 = 0.8;
-/// At most one line on faults in so long.
+/// The span in which log lines are budgeted: one on faults, `ENDS_LOGGED` on GETs.
 const LOG_EVERY: Duration = Duration::from_millis(1000);
 /// Lines on GETs that were shed or errored, at most, in each `LOG_EVERY`: enough to follow some by id through the
 /// dispatchers that touched them, few enough that an overload is not made worse by its own log (a line costs some
@@ -111,9 +111,8 @@
     most_buffered: usize,
     wake_at: Duration,
     stops_at: Option<Duration>,
-    /// When the next fault may be logged, and how many went by without.
-    logs_at: Duration,
-    unlogged: u64,
+    /// Lines on faults: one in each `LOG_EVERY`.
+    faults: Lines,
     /// Lines on GETs not returned or late.
     ends: Lines,
     /// Forwards sent in this `LOG_EVERY` that ask the origin for a fill or go to it, and when the count is told.
@@ -212,8 +211,7 @@
             wake_at: Duration::MAX,
             tidy_at: Duration::ZERO,
             stops_at: None,
-            logs_at: Duration::ZERO,
-            unlogged: 0,
+            faults: Lines::default(),
             ends: Lines::default(),
             from_origin: 0,
             filled_from_origin: 0,
@@ -251,15 +249,11 @@
     /// Counts what could not be read or used, and tells of it now and then.
     pub fn fault(&mut self, what: Arguments<'_>) {
         self.counters.faults += 1;
-        if self.now < self.logs_at {
-            self.unlogged += 1;
-            return;
+        if let Some(unsaid) = self.faults.take(self.now, 1) {
+            log::warn!("{what} ({unsaid} more since the last such line)");
         }
-        log::warn!("{what} ({} more since the last such line)", std::mem::take(&mut self.unlogged));
-        self.logs_at = self.now + LOG_EVERY;
     }
 
-    /// Whether a line on a GET not returned may be written now, and how many went unsaid before it.
     /// Tells once in each `LOG_EVERY` how many forwards went to the origin or named it as their fill source, and how
     /// many answers said they were filled from it, where any: summed over a fleet's logs by second, what the origin
     /// was asked for and what it did.
@@ -275,6 +269,7 @@
         self.from_origin_at = self.now + LOG_EVERY;
     }
 
+    /// Whether a line on a GET not returned or late may be written now, and how many went unsaid before it.
     pub fn may_log_end(&mut self) -> Option<u64> {
         self.ends.take(self.now, ENDS_LOGGED)
     }
