--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -148,6 +148,7 @@
                 group: m.purge_group,
                 size_kb: m.kbytes,
                 viewer_timeout: span(m.ttl_ms),
+                again: false,
             });
         }
         "Response" => {
--- /dev/null
+++ b/crates/comeback/src/pace.rs
@@ -0,0 +1,140 @@
+//! What may be asked of one source: a bound on the fills out there together, which many routers share without a word
+//! between them, from the start on.
+//!
+//! The bound begins at a share of a few fills for all routers together, doubles while fills are easy and it is reached, is
+//! cut when they wait for long, come late or fail, and from the first cut on rises by a few
+//! fills for all routers together in the time that a fill takes. A router's part may be under one fill: then fills are let
+//! out one by one, as far apart as keeps the part; routers that start together begin at moments of their own.
+
+use std::time::Duration;
+
+/// Fills out that all routers of a source together are let have at first, and always: a few, which a small source bears,
+/// and a part of one for each router, since a source that many share is sized for many.
+const FIRST: (f64, f64) = (4.0, 0.1);
+/// What is added for each router at first, over the square of their count: the fewer there are, the more each sees of
+/// what its fills do to the source.
+const FIRST_FEW: f64 = 24.0;
+const LEAST: (f64, f64) = (4.0, 0.05);
+/// Fills that all together add in the time that a fill takes, once the bound was cut.
+const RISE: f64 = 16.0;
+/// Parts of its objective that a fill may wait from which the bound rises no more, and over which it is cut: where many
+/// share a source, with room for what all of them ask for before any of them hears of it, and for the rest of the way; and
+/// what is added to them, over the count of routers, for the fewer there are the sooner a cut is felt.
+const EASY: (f64, f64) = (0.25, 1.2);
+const PRESSED: (f64, f64) = (0.4, 1.6);
+/// The bound is cut to this share at least and at most when fills wait for too long, once in the time that a fill takes or
+/// in so many ms.
+const CUT_EVERY: Duration = Duration::from_millis(250);
+const CUT_LEAST: f64 = 0.85;
+const CUT_MOST: f64 = 0.5;
+/// Of the last fills, so many late or failed are no chance.
+const FEW: u32 = 4;
+/// Share of the bound that stays at each fill while less than half of it is used: what was never needed is not known to
+/// be borne.
+const UNUSED: f64 = 0.98;
+/// s; a fill's time until one was seen: a way to a far source and its work.
+const TAKES_FIRST: f64 = 0.1;
+/// weight of a fill's time in the mean.
+const BLEND: f64 = 0.1;
+/// Fills saved up while none was asked for, where a part is under one: GETs come unevenly.
+const SAVED: f64 = 1.0;
+
+/// What a fill's end tells of its source.
+#[derive(Clone, Copy, Debug)]
+pub struct Filled {
+    /// It came, within its objective.
+    pub in_time: bool,
+    /// Part of its objective that it waited for the source's first byte, where that is told.
+    pub waited: Option<f64>,
+    pub took: Duration,
+}
+
+/// The bound of one router on one source. Times are since the router's start, as everywhere.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    limit: f64,
+    sharers: f64,
+    /// Last fills, newest in the lowest bit, 1 a bad one.
+    bad: u32,
+    cut_at: Option<Duration>,
+    /// Under one fill: when the next may go out.
+    next: Duration,
+    /// s; how long a fill takes, lately.
+    takes: f64,
+}
+
+impl Pace {
+    /// Of a source shared by so many routers; `phase`, from 0 to 1, scatters those that start together.
+    pub fn begin(&mut self, sharers: f64, phase: f64, now: Duration) {
+        self.sharers = sharers.max(1.0);
+        if self.limit > 0.0 {
+            return;
+        }
+        (self.limit, self.takes) = (self.first(), TAKES_FIRST);
+        if self.limit < 1.0 {
+            self.next = now + Duration::from_secs_f64(self.apart() * phase.clamp(0.0, 1.0));
+        }
+    }
+
+    fn first(&self) -> f64 {
+        self.part(FIRST) + FIRST_FEW / (self.sharers * self.sharers)
+    }
+
+    fn part(&self, (few, each): (f64, f64)) -> f64 {
+        few / self.sharers + each
+    }
+
+    /// Fills that may be out together; under one, the part of the time that one may be.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    fn apart(&self) -> f64 {
+        self.takes / self.limit.max(1e-3)
+    }
+
+    /// Whether one more may go out beside `out` others.
+    pub fn has_room(&self, out: f64, now: Duration) -> bool {
+        if self.limit >= 1.0 { out < self.limit } else { now >= self.next }
+    }
+
+    /// When the next one may go out, where that is only a matter of time.
+    pub fn opens_at(&self, now: Duration) -> Option<Duration> {
+        (self.limit > 0.0 && self.limit < 1.0).then(|| self.next.max(now))
+    }
+
+    /// One went out, or will as soon as it may.
+    pub fn sent(&mut self, now: Duration) {
+        if self.limit < 1.0 {
+            let apart = self.apart();
+            let from = self.next.max(now.saturating_sub(Duration::from_secs_f64(apart * SAVED)));
+            self.next = from + Duration::from_secs_f64(apart);
+        }
+    }
+
+    /// One ended with `out` others out; whether it tells that the source is pressed. Guards sources, and links on the way
+    /// there, from what all routers ask for together; it hurts where a slow cache spoils a source's count.
+    pub fn ended(&mut self, out: f64, filled: &Filled, now: Duration) -> bool {
+        let waited = filled.waited.unwrap_or(0.0);
+        let mark = |(part, few): (f64, f64)| (part + few / self.sharers).min(1.0);
+        let (easy, pressed) = (mark(EASY), filled.in_time && waited > mark(PRESSED));
+        self.bad = self.bad << 1 | u32::from(!filled.in_time);
+        self.takes += BLEND * (filled.took.as_secs_f64() - self.takes);
+        let many = !filled.in_time && (self.bad & ((1 << FEW) - 1)).count_ones() > 1;
+        let (least, first) = (self.part(LEAST), self.first());
+        let apart = Duration::from_secs_f64(self.takes).min(CUT_EVERY);
+        if (pressed || many) && self.cut_at.is_none_or(|at| now >= at + apart) {
+            let share = if pressed { (easy / waited).clamp(CUT_MOST, CUT_LEAST) } else { CUT_MOST };
+            self.limit = (self.limit.min((out + 1.0).max(least)) * share).max(least);
+            self.cut_at = Some(now);
+        } else if filled.in_time && waited <= easy {
+            if self.limit < 1.0 || out + 1.0 >= self.limit {
+                let most = if self.cut_at.is_some() { RISE / self.sharers / self.limit } else { 1.0 };
+                self.limit += most.min(self.limit);
+            } else if out + 1.0 < self.limit / 2.0 && self.limit > first {
+                self.limit = (self.limit * UNUSED).max(first);
+            }
+        }
+        pressed || !filled.in_time
+    }
+}
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -87,6 +87,7 @@
         // No client waits longer than the settings tell.
         get.viewer_timeout = get.viewer_timeout.min(self.manners.longest);
         self.counters.taken += 1;
+        self.record.took(self.now);
         self.counters.retries += u64::from(door::Door::is_retry(&request));
         self.clients.get_mut(key)?.open.push((number, place));
         let until = self.now + get.viewer_timeout;
@@ -127,7 +128,15 @@
             Answer::Shed(_) => self.counters.shed += 1,
             _ => self.counters.errored += 1,
         }
-        if !returned {
+        if returned {
+            let hand = self.hands.at(place);
+            let (in_hand, ds) = (hand.in_hand(self.now), hand.get.ds);
+            let in_time = self.manners.aims_most.get(ds).is_none_or(|aim| in_hand <= *aim);
+            if self.record.returned(in_time, self.now) {
+                self.tell_return("returned");
+            }
+        } else {
+            self.note_lost(place);
             self.log_end(place, answer);
         }
         self.write_answer(key, number, answer);
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -39,6 +39,8 @@
     pub changes: u64,
     pub purges: u64,
     pub polls_failed: u64,
+    /// Times that nothing ran here for so long that beliefs were doubted.
+    pub gaps: u64,
     /// Later configurations, followed and unusable.
     pub reread: u64,
     pub reread_failed: u64,
@@ -132,7 +134,7 @@
         write!(
             f,
             "\nconnections: clients {} mute {}; hosts {} failed {} broken {} idle {} stuck {}\n\
-             change log: hosts forgotten {} changes {} purges {} polls failed {}; configurations reread {} unusable {}\n\
+             change log: hosts forgotten {} changes {} purges {} polls failed {} gaps {}; configurations reread {} unusable {}\n\
              faults: unreadable {} strays {} broken {}\n\
              rounds: {} longest {} us",
             self.clients,
@@ -146,6 +148,7 @@
             self.changes,
             self.purges,
             self.polls_failed,
+            self.gaps,
             self.reread,
             self.reread_failed,
             self.faults,
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -8,8 +8,9 @@
 use super::keyed::Keyed;
 use super::{Dispatcher, Key, Who};
 use bytes::BytesMut;
-use myrtlegauge::interface::{End, Get, HostIndex, Place, Values, span};
+use myrtlegauge::interface::{End, Get, HostIndex, Note, Place, Values, span};
 use myrtlegauge::values::{self, flag, number};
+use myrtlegauge_comeback::{HELD, Held, Record};
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::feed::Feed;
 use myrtlegauge_wire::places::Places;
@@ -59,6 +60,8 @@
     pub longest: Duration,
     /// Each class's latency objective, by its index; a GET returned later is logged.
     pub aims: Vec<Duration>,
+    /// The same with what the largest object may add: a GET returned later was not returned in time.
+    pub aims_most: Vec<Duration>,
     /// The kind of host that the origin is, as the settings number kinds.
     pub origin_kind: Option<usize>,
 }
@@ -120,6 +123,10 @@
     /// Answers in the same time that said they were filled from the origin.
     pub filled_from_origin: u32,
     from_origin_at: Duration,
+    /// Since when what is believed is old, after a gap in which nothing ran here.
+    pub doubted: Option<Duration>,
+    /// When this life was of use again, and what held it back.
+    pub record: Record,
 }
 
 /// A budget of log lines in each `LOG_EVERY`, and how many went unsaid since the last line said.
@@ -155,7 +162,12 @@
         let aims = services()
             .map(|ds| span(ds.get("aim_ms").and_then(|v| v.as_f64()).unwrap_or(f64::MAX)))
             .collect();
+        let most = |ds: &serde_json::Value| {
+            let told = |name: &str| ds.get(name).and_then(|v| v.as_f64());
+            span(told("aim_ms").unwrap_or(f64::MAX) * (1.0 + told("aim_stretch").unwrap_or(0.0).max(0.0)))
+        };
         Self {
+            aims_most: services().map(most).collect(),
             streams: number(told, "limits.streams_per_conn").map_or(1, |n| n as usize).max(1),
             idle: values::span(told, "limits.conn_idle_ms").unwrap_or_default().mul_f64(IDLE_PART),
             connect: values::span(told, "limits.connect_timeout_ms").unwrap_or_default(),
@@ -183,7 +195,6 @@
             accounts,
             counters: Counters::default(),
             now: clock.now(),
-            clock,
             door,
             places,
             manners,
@@ -216,6 +227,9 @@
             from_origin: 0,
             filled_from_origin: 0,
             from_origin_at: Duration::ZERO,
+            doubted: None,
+            record: Record::begin(clock.now()),
+            clock,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
             most_buffered: (room.memory as f64 * BUFFERS_PART) as usize,
@@ -269,6 +283,42 @@
         self.from_origin_at = self.now + LOG_EVERY;
     }
 
+    /// A step of the return, said once in each life: by these lines on-call adds a fleet's return up.
+    pub fn tell_return(&self, step: &str) {
+        let record = &self.record;
+        let ms = |at: usize| record.spans()[at].map_or(-1, |span| span.as_millis() as i64);
+        let (ready_ms, whole_ms, returned_ms, full_ms) = (ms(0), ms(1), ms(2), ms(3));
+        let [list, purges, source, host, other] = *record.held();
+        log::info!(step, ready_ms, whole_ms, returned_ms, full_ms, list, purges, source, host, other; "return");
+    }
+
+    /// Looks whether service has come to be full.
+    pub fn look_at_return(&mut self) {
+        if self.record.turn(self.now) {
+            self.tell_return("full");
+        }
+    }
+
+    /// Notes a GET that was not returned, by what held it back.
+    pub fn note_lost(&mut self, place: Place) {
+        let hand = self.hands.at(place);
+        let why = match hand.last {
+            _ if !self.listed => Held::List,
+            None => Held::Host,
+            Some((_, End::Miss, _)) => Held::Source,
+            Some((_, _, note)) => match note {
+                Note::SourceRefused
+                | Note::SourceBroke
+                | Note::SourceLacks
+                | Note::NoFillPlace
+                | Note::OriginFailed => Held::Source,
+                _ if !self.record.is_whole() => Held::Purges,
+                _ => Held::Other,
+            },
+        };
+        self.record.lost(why, self.now);
+    }
+
     /// Whether a line on a GET not returned or late may be written now, and how many went unsaid before it.
     pub fn may_log_end(&mut self) -> Option<u64> {
         self.ends.take(self.now, ENDS_LOGGED)
@@ -331,12 +381,26 @@
         self.counters.must(holds, "taken = answered + abandoned + in hand");
     }
 
+    /// The return of this life, with the counters.
+    fn return_line(&self) -> String {
+        let names = ["list known", "log whole", "first returned", "full service"];
+        let told = |(name, span): (&str, Option<Duration>)| match span {
+            Some(span) => format!("{name} {} ms", span.as_millis()),
+            None => format!("{name} not yet"),
+        };
+        let spans: Vec<_> = names.into_iter().zip(self.record.spans()).map(told).collect();
+        let held: Vec<_> =
+            HELD.iter().zip(self.record.held()).map(|(name, count)| format!("{name} {count}")).collect();
+        format!("return: {}; held back until then: {}", spans.join(", "), held.join(" "))
+    }
+
     pub fn report(&self) {
         let accounts = &self.accounts;
         log::info!(
-            "{}\nin hand: {} GETs, {} clients, {} connections to hosts\n\
+            "{}\n{}\nin hand: {} GETs, {} clients, {} connections to hosts\n\
              peaks: {} connections, {} bytes in buffers, {} in requests; bytes in {} out {}",
             self.counters,
+            self.return_line(),
             self.hands.owed,
             self.clients.len(),
             self.links.len(),
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -46,11 +46,11 @@
             group: or_none(digits, &request.group).filter(|&group| group <= GROUP_MOST)?,
             size_kb: 0.0,
             viewer_timeout: span(budget),
+            again: Self::is_retry(request),
         })
     }
 
-    /// Whether a request is marked as a try after the first. It changes no decision and no byte: a mark that can't be
-    /// read is none.
+    /// Whether a request is marked as a try after the first. It changes no byte: a mark that can't be read is none.
     pub fn is_retry(request: &Request) -> bool {
         let first = request.first.len() == KEY_LONG && hex(&request.first).is_some();
         first && digits(&request.attempt).is_some_and(|number| number > 0)
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -135,7 +135,7 @@
 
     /// Writes a forward as its host reads it; what the client sent goes on as it came.
     fn write_forward(&mut self, key: Key, place: Place) {
-        let Self { hands, hosts, links, door, pen, text, now, .. } = self;
+        let Self { hands, hosts, links, door, pen, text, now, record, doubted, .. } = self;
         let hand = hands.at(place);
         let Some(out) = &mut hand.out else { return };
         let (request, to) = (&hand.request, &out.to);
@@ -163,7 +163,8 @@
             put(text, before, word.as_bytes());
             before = "+";
         }
-        if !request.held.is_empty() {
+        // A client's copy is not called current before all purges are known.
+        if !request.held.is_empty() && record.is_whole() && doubted.is_none() {
             put(text, ",inm=", &request.held);
         }
         resp::serve(pen, &request.id, text, &request.body);
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -92,6 +92,7 @@
     /// All that one turn of the loop brought, as one round; and another at once where one ended forwards here.
     pub fn turn(&mut self) {
         let Self { router, desk } = self;
+        desk.look_for_gap();
         desk.read();
         desk.write();
         while desk.has_news() {
@@ -101,6 +102,8 @@
                 while let Some(body) = round.desk().next_changes() {
                     tell_polled(round, &body);
                 }
+                let doubted = round.desk().doubted;
+                round.doubted(doubted);
                 while let Some((place, outcome)) = round.desk().next_answered() {
                     round.outcome(place, &outcome);
                 }
@@ -126,6 +129,7 @@
             desk.now = desk.clock.now();
         }
         desk.tell_origin();
+        desk.look_at_return();
         if desk.tidy() {
             // What the module believes to be out at a host is what stands on its connections.
             for host in 0..desk.hosts.len() {
@@ -177,10 +181,12 @@
 fn tell_polled(round: &mut Round<'_, Desk>, body: &Bytes) {
     let before = round.desk().last_change();
     match serde_json::from_slice(body) {
-        Ok(changes) => tell_changes(round, changes, ListKind::Whole),
+        Ok(changes) => {
+            tell_changes(round, changes, ListKind::Whole);
+            round.desk().polled(before);
+        }
         Err(e) => round.desk().unread(format_args!("an answer of the change log can't be read: {e}")),
     }
-    round.desk().polled(before);
 }
 
 /// Each numbered event once, in order; `whole` is what a whole list counts as.
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// A gap between two turns of the loop, which wakes many times a second, that tells that the process did not run. Under
+/// any grace on purges.
+const FROZEN: Duration = Duration::from_millis(750);
 /// After the longest wait of any client, for what still ends then.
 const LET_GO: Duration = Duration::from_millis(1000);
 
@@ -45,11 +48,32 @@
 
     /// An answer was taken; `before` was the last event until then.
     pub fn polled(&mut self, before: u64) {
+        if self.doubted.is_none_or(|woke| self.feed.asked_at() >= woke) {
+            self.doubted = None;
+            if self.record.whole(self.now) {
+                self.tell_return("whole");
+            }
+        }
         if self.feed.last == before {
             self.feed.brought_nothing(self.now);
         }
     }
 
+    /// After a time in which nothing ran here, a machine asleep or a process frozen, what is believed is old: purges and
+    /// the list are doubted until the change log has answered what is asked from now on, at once.
+    ///
+    /// Guards against copies from before a purge that was told meanwhile. It hurts by fills for what is asked until then.
+    pub fn look_for_gap(&mut self) {
+        let now = self.clock.now();
+        if now >= self.now + FROZEN {
+            let gap_ms = (now - self.now).as_millis() as u64;
+            log::warn!(gap_ms; "nothing ran here for a while: copies are doubted until the change log has answered");
+            self.doubted = Some(now);
+            self.counters.gaps += 1;
+            self.feed.hurry(now);
+        }
+    }
+
     /// Whether an event has not been taken yet; none if others should have come before it.
     pub fn is_next(&mut self, number: u64) -> Option<bool> {
         let step = self.feed.step(number, self.now);
@@ -117,6 +141,9 @@
             entries.push(entry);
         }
         self.listed |= !entries.is_empty();
+        if self.listed && self.record.listed(self.now) {
+            self.tell_return("ready");
+        }
         entries
     }
 
--- a/crates/lab/src/client/mod.rs
+++ b/crates/lab/src/client/mod.rs
@@ -6,10 +6,11 @@
 mod crowd;
 mod way;
 
-use crate::xds::beside::{Dispatcher, ready};
-use crate::xds::changelog::{ChangeLog, Tells};
-use crate::xds::hosts::Host;
-use crate::xds::ledger::Ledger;
+use crate::stand::asker::ready;
+use crate::stand::changelog::{ChangeLog, Tells};
+use crate::stand::hosts::Host;
+use crate::stand::ledger::Ledger;
+use crate::stand::process::Dispatcher;
 use crate::xds::{line, service};
 use bad::Bad;
 use myrtlegauge_client::{Client, Effect, Get, Outcome, Place, Resend, Service, Shed};
@@ -25,6 +26,8 @@
 const SLACK: Duration = Duration::from_millis(60);
 const TOO_BUSY: Duration = Duration::from_millis(40);
 const NOT_JUDGED: u8 = 3;
+/// Answers lost on each way where the run is to be seen to fail.
+const FORCED: u64 = 2;
 const WINDOW: Duration = Duration::from_millis(1500);
 
 /// What is left out, so that the proof is seen to fail.
@@ -218,6 +221,10 @@
         let goals = [dispatchers[0].address, dispatchers[1].address, bad.address];
         for (group, to) in goals.into_iter().enumerate() {
             let way = Way::lay(to).await.map_err(|e| e.to_string())?;
+            // Without its defence the failure is made to happen: the first effects run, and no answer comes back.
+            if plan.without == Some(Without::Effects) {
+                way.loses.store(FORCED, Ordering::Relaxed);
+            }
             let sharers = clients as u32;
             places.push(Place { address: way.address, group: group as u64, sharers });
             ways.push(way);
--- a/crates/lab/src/client/way.rs
+++ b/crates/lab/src/client/way.rs
@@ -15,6 +15,8 @@
     open: watch::Sender<bool>,
     /// Bytes from now on after which the connection that carries them is dropped; under zero: none.
     drops_after: AtomicI64,
+    /// Answers to effects that are still to be lost on their way back: the effect ran, and its client never hears.
+    pub loses: AtomicU64,
     pub connections: AtomicU64,
     pub dropped: AtomicU64,
     passed: Mutex<Passed>,
@@ -33,8 +35,9 @@
 pub struct Tried {
     pub at: Instant,
     pub object: u64,
-    /// Of the tokened service.
+    /// Of the tokened service; of the one whose effect must not happen twice.
     pub order: bool,
+    confirms: bool,
     /// The first try's id and the number of this one, where it is marked.
     pub mark: Option<(u64, u32)>,
     /// The connection that it was on, and its number there; a refusal came back for it.
@@ -69,6 +72,7 @@
                 at: Instant::now(),
                 object: hex("HTTP_RESOURCE_KEY").unwrap_or(0),
                 order: text.windows(10).any(|part| part == b"order-note"),
+                confirms: text.windows(16).any(|part| part == b"delivery-confirm"),
                 mark: hex("HTTP_X_FIRST_ID").zip(number),
                 // The record's head and the lengths of the first pair stand before it.
                 on: (connection, start.checked_sub(8).map_or([0; 2], |at| [bytes[at], bytes[at + 1]])),
@@ -78,6 +82,24 @@
         }
     }
 
+    /// Whether these bytes answer an effect that ran, and are to be lost.
+    fn is_to_be_lost(&self, connection: u64, bytes: &[u8]) -> bool {
+        const DONE: &[u8] = b"Status: 200";
+        if self.loses.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
+        let passed = self.passed.lock().expect("no holder panics");
+        let at = bytes.windows(DONE.len()).enumerate().filter(|(_, part)| *part == DONE).map(|(at, _)| at);
+        let lost = at.filter_map(|at| at.checked_sub(6)).any(|head| {
+            let on = (connection, [bytes[head], bytes[head + 1]]);
+            passed.tries.iter().rev().find(|tried| tried.on == on).is_some_and(|tried| tried.confirms)
+        });
+        if lost {
+            self.loses.fetch_sub(1, Ordering::Relaxed);
+        }
+        lost
+    }
+
     fn note_answers(&self, connection: u64, bytes: &[u8]) {
         for status in [&b"Status: 503"[..], b"Status: 429"] {
             for (at, _) in bytes.windows(status.len()).enumerate().filter(|(_, part)| *part == status) {
@@ -109,6 +131,7 @@
             address: listener.local_addr()?,
             open: watch::Sender::new(true),
             drops_after: AtomicI64::new(-1),
+            loses: AtomicU64::new(0),
             connections: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
             passed: Mutex::default(),
@@ -161,6 +184,9 @@
             }
             if asks {
                 self.note_requests(connection, &bytes[..n]);
+            } else if self.is_to_be_lost(connection, &bytes[..n]) {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+                return;
             } else {
                 self.note_answers(connection, &bytes[..n]);
             }
--- /dev/null
+++ b/crates/lab/src/fleet/plot.rs
@@ -0,0 +1,73 @@
+//! A run as a picture: service, fills at each source, and the lives of the processes over time.
+
+use super::judge::{self, Bin};
+use super::{ORIGIN_WORK, Played, Scene};
+use crate::stand::hosts::STEP;
+use plotters::prelude::*;
+use std::path::Path;
+
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+pub fn timeline(to: &Path, played: &Played, scene: &Scene) -> Result<(), String> {
+    draw(to, played, scene).map_err(|e| format!("{}: {e}", to.display()))
+}
+
+fn draw(to: &Path, played: &Played, scene: &Scene) -> Drawn {
+    let all = SVGBackend::new(to, (1000, 900)).into_drawing_area();
+    all.fill(&WHITE)?;
+    let panels = all.split_evenly((3, 1));
+    let (long, fault) = (scene.long.as_secs_f64(), scene.before.as_secs_f64());
+    let bins = played.bins(scene);
+    let at = |n: usize| n as f64 * judge::BIN.as_secs_f64();
+
+    let mut service = ChartBuilder::on(&panels[0])
+        .caption("GETs returned in time, of those due in each half second", ("sans-serif", 16))
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..long, 0.0..1.02)?;
+    service.configure_mesh().x_desc("s").draw()?;
+    service
+        .draw_series(LineSeries::new(bins.iter().enumerate().map(|(n, bin)| (at(n), bin.share())), &BLUE))?;
+    let shed = |bin: &Bin| f64::from(bin.shed) / f64::from(bin.due.max(1));
+    service.draw_series(LineSeries::new(bins.iter().enumerate().map(|(n, bin)| (at(n), shed(bin))), &RED))?;
+    service.draw_series(LineSeries::new([(fault, 0.0), (fault, 1.02)], &BLACK))?;
+
+    let step = STEP.as_secs_f64();
+    let bears = scene.origin_slots as f64;
+    let sources = std::iter::once((&played.origin, bears, &RED))
+        .chain(played.parents.iter().map(|parent| (parent, played.parent_bears, &GREEN)));
+    let mut fills = ChartBuilder::on(&panels[1])
+        .caption(
+            format!("work asked of the origin (red, {bears} places of {ORIGIN_WORK:?}) and parents, over what they bear"),
+            ("sans-serif", 16),
+        )
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..long, 0.0..3.0)?;
+    fills.configure_mesh().x_desc("s").draw()?;
+    for (steps, bears, colour) in sources {
+        let asked = steps.iter().enumerate().map(|(n, s)| (n as f64 * step, s.work / (bears * step)));
+        fills.draw_series(LineSeries::new(asked, colour))?;
+    }
+    fills.draw_series(LineSeries::new([(0.0, 1.0), (long, 1.0)], &BLACK))?;
+
+    let count = played.lives.len().max(1) as f64;
+    let mut lives = ChartBuilder::on(&panels[2])
+        .caption("lives of the dispatchers, a new colour for each", ("sans-serif", 16))
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0.0..long, 0.0..count)?;
+    lives.configure_mesh().disable_y_mesh().x_desc("s").draw()?;
+    for (row, own) in played.lives.iter().enumerate() {
+        for (life, (from, to)) in own.iter().enumerate() {
+            let to = to.map_or(long, |to| to.as_secs_f64());
+            let bar = [(from.as_secs_f64(), row as f64 + 0.15), (to, row as f64 + 0.85)];
+            lives.draw_series([Rectangle::new(bar, Palette99::pick(life).filled())])?;
+        }
+    }
+    all.present()?;
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,12 @@
 //! Proof runs: stand-ins on loopback around the real programs, faults drawn from a seed, an oracle that counts at the
-//! stand-ins. `xds` proves the control service, `client` the client library. Exit code 0 only if every promise held; 3 if the machine was too busy
+//! stand-ins. `xds` proves the control service, `client` the client library, `return` a fleet
+//! that comes back together. Exit code 0 only if every promise held; 3 if the machine was too busy
 //! to judge.
 
 mod client;
+mod comeback;
+mod fleet;
+mod stand;
 mod xds;
 
 use clap::{Parser, Subcommand};
@@ -22,6 +26,8 @@
     Xds(xds::Plan),
     /// The client library against real dispatchers with stand-in caches.
     Client(client::Plan),
+    /// Coming back together: dispatchers killed, caches emptied, sources near what they bear.
+    Return(comeback::Plan),
     /// The control service itself, for a proof run to start and kill.
     #[command(hide = true)]
     Serve { file: PathBuf },
@@ -34,6 +40,7 @@
     match Arguments::parse().proof {
         Proof::Xds(plan) => xds::run(&plan),
         Proof::Client(plan) => client::run(&plan),
+        Proof::Return(plan) => comeback::run(&plan),
         Proof::Dispatch => {
             myrtlegauge_operator::logs::start_plain();
             ended(myrtlegauge_dispatcher::program::run())
--- a/crates/lab/src/xds/changelog.rs
+++ b/crates/lab/src/stand/changelog.rs
@@ -1,6 +1,7 @@
 //! A stand-in change log: numbered events, a long poll over HTTP/1.1, and the faults that one can have.
 
 use super::ledger::{Ledger, Named};
+use super::net::{Net, Party, Passed};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -29,9 +30,18 @@
     life: u64,
 }
 
+/// How one who polls sees the change log: at an address of its own, with hosts at addresses of its own.
+struct View {
+    who: Party,
+    listener: std::net::TcpListener,
+    /// A host's address as it is listed, in quotes, and as this one is told it.
+    renamed: Vec<(String, String)>,
+}
+
 pub struct ChangeLog {
     pub address: SocketAddr,
-    listener: Mutex<Option<std::net::TcpListener>>,
+    views: Mutex<Vec<View>>,
+    net: Arc<Net>,
     events: Mutex<Events>,
     news: Notify,
     ledger: Arc<Ledger>,
@@ -39,11 +49,16 @@
 
 impl ChangeLog {
     pub fn new(ledger: Arc<Ledger>) -> std::io::Result<Self> {
+        Self::on(ledger, Arc::new(Net::new(0)))
+    }
+
+    pub fn on(ledger: Arc<Ledger>, net: Arc<Net>) -> std::io::Result<Self> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         Ok(Self {
             address: listener.local_addr()?,
-            listener: Mutex::new(Some(listener)),
+            views: Mutex::new(vec![View { who: Party::Front, listener, renamed: Vec::new() }]),
+            net,
             events: Mutex::default(),
             news: Notify::new(),
             ledger,
@@ -66,8 +81,12 @@
         self.add(fleet, tells);
     }
 
-    pub fn purge(&self, named: Named, unix_ms: f64) {
+    /// A purge; one that is kept back counts as told all the same, as what is in the log does after a while.
+    pub fn purge(&self, named: Named, unix_ms: f64, told: bool) {
         let purge = self.ledger.purged(named, unix_ms);
+        if !told {
+            return;
+        }
         let what = match named {
             Named::Object(object) => format!("\"object\":\"{object:016x}\""),
             Named::Group(group) => format!("\"bucket\":{group}"),
@@ -99,18 +118,48 @@
         self.news.notify_waiters();
     }
 
+    /// An address of its own for one who polls, and what that one is told of hosts' addresses.
+    pub fn listen_for(&self, who: Party, hosts: &[(SocketAddr, SocketAddr)]) -> std::io::Result<SocketAddr> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let renamed = hosts.iter().map(|(listed, told)| (format!("\"{listed}\""), format!("\"{told}\"")));
+        let view = View { who, listener, renamed: renamed.collect() };
+        self.views.lock().expect("no holder panics").push(view);
+        Ok(address)
+    }
+
+    /// All events so far as a start is told them, in the words of one who polls.
+    pub fn known(&self, hosts: &[(SocketAddr, SocketAddr)]) -> serde_json::Value {
+        let renamed: Vec<_> = hosts.iter().map(|(a, b)| (format!("\"{a}\""), format!("\"{b}\""))).collect();
+        let told = rename(self.since(0).0, &renamed);
+        serde_json::from_str(&told).unwrap_or_default()
+    }
+
     pub async fn serve(self: Arc<Self>) -> std::io::Result<()> {
-        let listener = self.listener.lock().expect("no holder panics").take().expect("served once");
-        let listener = TcpListener::from_std(listener)?;
-        loop {
-            let (stream, _) = listener.accept().await?;
-            stream.set_nodelay(true)?;
-            let log = Arc::clone(&self);
-            tokio::spawn(async move { log.connection(stream).await });
+        let views = std::mem::take(&mut *self.views.lock().expect("no holder panics"));
+        let mut all = tokio::task::JoinSet::new();
+        for View { who, listener, renamed } in views {
+            let listener = TcpListener::from_std(listener)?;
+            let (log, renamed) = (Arc::clone(&self), Arc::new(renamed));
+            all.spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let _ = stream.set_nodelay(true);
+                    let (log, renamed) = (Arc::clone(&log), Arc::clone(&renamed));
+                    tokio::spawn(async move { log.connection(who, stream, &renamed).await });
+                }
+            });
         }
+        all.join_all().await;
+        Ok(())
     }
 
-    async fn connection(&self, stream: TcpStream) -> std::io::Result<()> {
+    async fn connection(
+        &self,
+        who: Party,
+        stream: TcpStream,
+        renamed: &[(String, String)],
+    ) -> std::io::Result<()> {
         let mut stream = BufReader::new(stream);
         let life = self.events().life;
         loop {
@@ -128,6 +177,9 @@
                 let at = first.find(name).map(|at| &first[at + name.len()..]).unwrap_or_default();
                 at.chars().take_while(char::is_ascii_digit).collect::<String>().parse().unwrap_or(0)
             };
+            if self.net.pass(who, Party::ChangeLog).await != Passed::Whole {
+                return Ok(());
+            }
             let (since, patience) = (asked("since="), Duration::from_millis(asked("timeout=") as u64));
             let until = tokio::time::Instant::now() + patience.min(Duration::from_secs(5));
             let silent = self.events().silent.take();
@@ -140,10 +192,11 @@
                     break;
                 }
             }
-            if self.events().life != life {
+            if self.events().life != life || self.net.pass(Party::ChangeLog, who).await != Passed::Whole {
                 return Ok(());
             }
             let (body, told, broken) = self.since(since);
+            let body = rename(body, renamed);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             stream.get_mut().write_all(head.as_bytes()).await?;
             if broken {
@@ -154,7 +207,7 @@
             for tells in &told {
                 match *tells {
                     Tells::Drain(host) => self.ledger.drain_told(host),
-                    Tells::Purge(purge) => self.ledger.purge_told(purge),
+                    Tells::Purge(purge) => self.ledger.purge_told(purge, who),
                     Tells::List => {}
                 }
             }
@@ -181,3 +234,7 @@
         (body, tells, broken)
     }
 }
+
+fn rename(body: String, renamed: &[(String, String)]) -> String {
+    renamed.iter().fold(body, |body, (listed, told)| body.replace(listed, told))
+}
--- a/crates/lab/src/xds/ledger.rs
+++ b/crates/lab/src/stand/ledger.rs
@@ -1,6 +1,7 @@
 //! What was told and what happened, as the stand-ins saw it, and what of it breaks a promise. Nothing here is taken from
 //! the control service's or the followers' own books.
 
+use super::net::Party;
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
@@ -8,6 +9,8 @@
 
 pub const DRAIN_GRACE: Duration = Duration::from_millis(250);
 pub const PURGE_GRACE: Duration = Duration::from_millis(1000);
+/// What the change log has to tell counts as told after this, whether it arrived or not.
+const TOLD_AFTER: Duration = Duration::from_millis(7000);
 /// Breaks that are kept in words; all are counted.
 const BREAKS_MOST: usize = 20;
 
@@ -25,7 +28,10 @@
 struct Purge {
     named: Named,
     unix_ms: f64,
+    put: Instant,
+    /// When it was first told, and to whom when.
     told: Option<Instant>,
+    told_to: BTreeMap<Party, Instant>,
 }
 
 struct Drain {
@@ -135,13 +141,18 @@
 
     pub fn purged(&self, named: Named, unix_ms: f64) -> usize {
         self.with(|books| {
-            books.purges.push(Purge { named, unix_ms, told: None });
+            let told_to = BTreeMap::new();
+            books.purges.push(Purge { named, unix_ms, put: Instant::now(), told: None, told_to });
             books.purges.len() - 1
         })
     }
 
-    pub fn purge_told(&self, purge: usize) {
-        self.with(|books| books.purges[purge].told.get_or_insert_with(Instant::now).elapsed());
+    pub fn purge_told(&self, purge: usize, who: Party) {
+        self.with(|books| {
+            let purge = &mut books.purges[purge];
+            purge.told.get_or_insert_with(Instant::now);
+            purge.told_to.entry(who).or_insert_with(Instant::now);
+        });
     }
 
     pub fn purge_took_effect(&self, purge: usize, since: Instant) {
@@ -211,12 +222,35 @@
 
     /// A copy was returned to a client.
     pub fn returned(&self, object: u64, group: u64, born_ms: f64) {
+        let now = Instant::now();
+        self.judge_copy(object, group, born_ms, now, |purge| purge.told);
+    }
+
+    /// A copy was returned by one that polls the change log itself, to a GET taken at `asked`. What was not told to it
+    /// counts as told after a while all the same.
+    pub fn returned_by(&self, who: Party, object: u64, group: u64, born_ms: f64, asked: Instant) {
+        let told = |purge: &Purge| {
+            let told = purge.told_to.get(&who).copied();
+            Some(told.unwrap_or(purge.put + TOLD_AFTER).min(purge.put + TOLD_AFTER))
+        };
+        self.judge_copy(object, group, born_ms, asked, told);
+    }
+
+    fn judge_copy(
+        &self,
+        object: u64,
+        group: u64,
+        born_ms: f64,
+        at: Instant,
+        told: impl Fn(&Purge) -> Option<Instant>,
+    ) {
         self.with(|books| {
             let mut worst = Duration::ZERO;
             for purge in books.purges.iter().rev().take(2000) {
                 let named = purge.named == Named::Object(object) || purge.named == Named::Group(group);
                 if named && born_ms < purge.unix_ms {
-                    worst = worst.max(purge.told.map(|told| told.elapsed()).unwrap_or_default());
+                    let since = told(purge).map(|told| at.saturating_duration_since(told));
+                    worst = worst.max(since.unwrap_or_default());
                 }
             }
             books.worst_after_purge = books.worst_after_purge.max(worst);
--- /dev/null
+++ b/crates/lab/src/stand/process.rs
@@ -0,0 +1,167 @@
+//! The dispatcher as a process of its own: started, asked to end, killed, frozen and woken.
+
+use super::super::xds::service::{self, Used};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Runs of this process so far: files of several runs stand apart.
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+pub struct Dispatcher {
+    pub address: SocketAddr,
+    file: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    verbose: bool,
+    /// Times that it was started.
+    pub lives: u32,
+    seed: u64,
+    config: Value,
+}
+
+/// What a dispatcher is told, settings apart.
+pub struct Told {
+    pub name: String,
+    pub changelog: SocketAddr,
+    pub known: Value,
+    pub seed: u64,
+}
+
+fn spawn(file: &Path, log: &Path, verbose: bool) -> Result<Child, String> {
+    let appended = || File::options().create(true).append(true).open(log);
+    let errors = if verbose {
+        Stdio::inherit()
+    } else {
+        appended().map_err(|e| format!("{}: {e}", log.display()))?.into()
+    };
+    // An earlier version of the program can stand in its place, for a comparison.
+    let mut program = match std::env::var_os("LAB_DISPATCHER") {
+        Some(earlier) => Command::new(earlier),
+        None => {
+            let mut own = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
+            own.arg("dispatch");
+            own
+        }
+    };
+    let child = program.env("ROUTER_CONFIG", file).env("RUST_LOG", "info").stderr(errors).spawn();
+    child.map_err(|e| format!("the dispatcher does not start: {e}"))
+}
+
+/// The settings of an operator file, with connections as the platform has them.
+pub fn settings(text: &str) -> Result<Value, String> {
+    let told = myrtlegauge_operator::read(text).map_err(|faults| format!("{faults:?}"))?;
+    let mut settings = Value::Object(told.facts);
+    for (name, value) in
+        [("streams_per_conn", 100.0), ("connect_timeout_ms", 400.0), ("conn_idle_ms", 15_000.0)]
+    {
+        settings["limits"][name] = json!(value);
+    }
+    Ok(settings)
+}
+
+impl Dispatcher {
+    pub fn start(text: &str, log: SocketAddr, verbose: bool) -> Result<Self, String> {
+        let known = json!({"seq": 0, "results": []});
+        let told = Told { name: "lab".to_owned(), changelog: log, known, seed: 7 };
+        Self::start_as(&settings(text)?, told, verbose)
+    }
+
+    pub fn start_as(settings: &Value, told: Told, verbose: bool) -> Result<Self, String> {
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+        let address = free.map_err(|e| e.to_string())?;
+        let config = json!({"name": told.name, "listen": address.to_string(), "seed": format!("{:x}", told.seed),
+            "changelog": told.changelog.to_string(), "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": told.known, "settings": settings});
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let stem = format!("myrtlegauge-lab-{}-{number}", std::process::id());
+        let file = std::env::temp_dir().join(format!("{stem}.json"));
+        let log = std::env::temp_dir().join(format!("{stem}.log"));
+        let mut started =
+            Self { address, file, log, child: None, verbose, lives: 0, seed: told.seed, config };
+        started.begin(None)?;
+        Ok(started)
+    }
+
+    /// Starts a new life, which is told the events known by now where that is asked for, and a seed of its own.
+    pub fn begin(&mut self, known: Option<Value>) -> Result<(), String> {
+        self.kill();
+        self.lives += 1;
+        if let Some(known) = known {
+            self.config["known"] = known;
+        }
+        self.config["seed"] = json!(format!("{:x}", self.seed.wrapping_add(u64::from(self.lives) << 32)));
+        self.write()?;
+        self.child = Some(spawn(&self.file, &self.log, self.verbose)?);
+        Ok(())
+    }
+
+    fn write(&self) -> Result<(), String> {
+        std::fs::write(&self.file, self.config.to_string())
+            .map_err(|e| format!("{}: {e}", self.file.display()))
+    }
+
+    /// Tells the running life of another change log, as the platform does: the file anew, then SIGHUP.
+    pub fn follow(&mut self, changelog: SocketAddr) -> Result<(), String> {
+        self.config["changelog"] = json!(changelog.to_string());
+        self.write()?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(id) = id {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Ends it at once, without a word.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// It ended by itself.
+    pub fn has_crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    pub fn used(&self) -> Used {
+        service::used(self.child.as_ref().map_or(0, Child::id))
+    }
+
+    /// Ends it, asked to or at once, and starts it again after a pause.
+    pub async fn restart(&mut self, asked: bool, pause: Duration) -> Result<(), String> {
+        if asked {
+            self.signal(Signal::TERM);
+            let until = std::time::Instant::now() + Duration::from_secs(3);
+            while !self.has_crashed() && std::time::Instant::now() < until {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        self.kill();
+        tokio::time::sleep(pause).await;
+        self.begin(None)
+    }
+
+    /// What all its lives logged.
+    pub fn logged(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.log);
+    }
+}
--- a/crates/lab/src/xds/mod.rs
+++ b/crates/lab/src/xds/mod.rs
@@ -1,18 +1,16 @@
 //! The proof of the control service: real sockets, the real program as a process of its own, stand-in proxies, caches and
 //! change log, faults drawn from a seed.
 
-pub mod beside;
-pub mod changelog;
-pub mod hosts;
-pub mod ledger;
 mod link;
 mod proxy;
 mod rogues;
 pub mod service;
 
-use changelog::{ChangeLog, Tells};
-use hosts::Host;
-use ledger::{Ledger, Named, Percentiles, unix_ms};
+use crate::stand::asker;
+use crate::stand::changelog::{ChangeLog, Tells};
+use crate::stand::hosts::Host;
+use crate::stand::ledger::{Ledger, Named, Percentiles, unix_ms};
+use crate::stand::process::Dispatcher;
 use link::Link;
 use myrtlegauge_control::exchange::Form;
 use proxy::{Fault, Proxy};
@@ -205,6 +203,8 @@
     let faults = (!plan.calm).then(|| tokio::spawn(faults(Arc::clone(&stage), plan.seed)));
     let rogues =
         (!plan.calm).then(|| tokio::spawn(rogues::run(service.address(), stage.hosts.clone(), plan.seed)));
+    let forced = plan.without.filter(|without| *without == Without::Lease);
+    let forced = forced.map(|_| tokio::spawn(cut_off_from_a_drain(Arc::clone(&stage))));
     let mut after_kill = Vec::new();
     for part in if plan.calm && !plan.kills { vec![] } else { vec![0.4, 0.75] } {
         tokio::time::sleep_until((began + first + Duration::from_secs(seconds).mul_f64(part)).into()).await;
@@ -227,7 +227,7 @@
 
     stage.stop.store(true, Ordering::Relaxed);
     let _ = script.await;
-    for task in [faults].into_iter().flatten() {
+    for task in [faults, forced].into_iter().flatten() {
         let _ = task.await;
     }
     if let Some(rogues) = rogues {
@@ -267,8 +267,8 @@
     seconds: u64,
 ) -> Result<ExitCode, String> {
     let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
-    let dispatcher = beside::Dispatcher::start(&text, log.address, plan.verbose)?;
-    beside::ready(dispatcher.address, &hosts).await?;
+    let dispatcher = Dispatcher::start(&text, log.address, plan.verbose)?;
+    asker::ready(dispatcher.address, &hosts).await?;
     let stage = Stage {
         ledger: Arc::clone(&ledger),
         log,
@@ -280,7 +280,7 @@
     let stage = Arc::new(stage);
     let script = tokio::spawn(script(Arc::clone(&stage), plan.seed));
     for index in 0..clients {
-        let client = Arc::new(beside::Client::new(dispatcher.address, Arc::clone(&ledger)));
+        let client = Arc::new(asker::Client::new(dispatcher.address, Arc::clone(&ledger)));
         let get = move |service, object| Arc::clone(&client).get(service, object);
         tokio::spawn(load(Arc::clone(&stage), index, plan.seed, plan.rate, get));
     }
@@ -376,7 +376,7 @@
         tokio::time::sleep(Duration::from_millis(chance.u64(60..300))).await;
         let object = (chance.f64().powi(3) * OBJECTS as f64) as u64;
         let named = if chance.u32(0..4) == 0 { Named::Group(object % 64) } else { Named::Object(object) };
-        stage.log.purge(named, unix_ms());
+        stage.log.purge(named, unix_ms(), true);
         if Instant::now() < next_drain {
             continue;
         }
@@ -412,6 +412,23 @@
     }
 }
 
+/// A drain that a third of the proxies can't hear of: without leases they go on sending there.
+async fn cut_off_from_a_drain(stage: Arc<Stage>) {
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let long = Duration::from_millis(1500);
+    let cut = stage.proxies.iter().step_by(3).map(|proxy| Arc::clone(proxy).suffer(Fault::Cut(long)));
+    let cut: Vec<_> = cut.map(tokio::spawn).collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let caches = || stage.hosts.iter().filter(|host| host.kind == "cache");
+    if let Some(host) = caches().find(|host| !stage.ledger.is_draining(host.index)) {
+        stage.ledger.draining(host.index);
+        stage.log.list(&[stage.line(host, "leaving", 0)], false, Tells::Drain(host.index));
+    }
+    for cut in cut {
+        let _ = cut.await;
+    }
+}
+
 /// What goes wrong with proxies and with the change log.
 async fn faults(stage: Arc<Stage>, seed: u64) {
     let mut chance = fastrand::Rng::with_seed(seed.wrapping_add(1001));
--- a/crates/lab/src/xds/rogues.rs
+++ b/crates/lab/src/xds/rogues.rs
@@ -1,7 +1,7 @@
 //! Peers that do what none should: ask for ten thousand names, for a type that is not known, for nothing; read nothing;
 //! go under another's name; report what can't be true. None may harm the others, and each meets a clear answer.
 
-use super::hosts::Host;
+use crate::stand::hosts::Host;
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::config::endpoint::v3 as endpoint;
 use envoy_types::pb::envoy::service::discovery::v3::DeltaDiscoveryRequest;
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -3,14 +3,11 @@
 use std::process::Command;
 
 /// How a proof ended, and what it told; a run that the machine was too busy to judge is taken again.
-pub fn run(proof: &str, without: Option<&str>) -> (i32, String) {
+pub fn run(proof: &str, arguments: &[&str]) -> (i32, String) {
     for _ in 0..3 {
         let mut run = Command::new(env!("CARGO_BIN_EXE_myrtlegauge-lab"));
-        run.args([proof, "--quick", "--seed", "1"]);
-        if let Some(without) = without {
-            run.args(["--without", without]);
-        }
-        let out = run.output().expect("the proof starts");
+        let out = run.args([proof, "--quick", "--seed", "1"]).args(arguments).output();
+        let out = out.expect("the proof starts");
         let code = out.status.code().unwrap_or(-1);
         if code != 3 {
             return (code, String::from_utf8_lossy(&out.stdout).into_owned());
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -440,7 +440,15 @@
         self.oracle.taken += 1;
         self.put(self.now + kind.timeout, Happens::GivesUp(id));
         let group = object % GROUPS;
-        let get = Get { ds: service, object, part: PART, group, size_kb: size, viewer_timeout: kind.timeout };
+        let get = Get {
+            ds: service,
+            object,
+            part: PART,
+            group,
+            size_kb: size,
+            viewer_timeout: kind.timeout,
+            again: false,
+        };
         let asked =
             Asked { service, object, size, at: self.now, answered: false, given_up: false, router, place: 0 };
         self.gets.insert(id, asked);
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -10,6 +10,8 @@
 /// How long an answer may wait for news: short, for a connection gone silent tells nothing, and what is in the
 /// change log counts as told.
 const WAIT: Duration = Duration::from_millis(500);
+/// The same for the first poll, and after a gap.
+const AT_ONCE: Duration = Duration::from_millis(1);
 /// After this much more the connection is given up.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Pause after a loss or an answer that brought nothing too soon: no flood, and far under any grace on drains.
@@ -36,6 +38,8 @@
     overlaps: bool,
     /// An event that was refused once, because those before it were missing.
     beyond: u64,
+    /// The next poll is answered at once: what is known has to be whole before it is used.
+    hurries: bool,
 }
 
 /// What an event's number says of it.
@@ -64,6 +68,7 @@
             last: 0,
             overlaps: false,
             beyond: 0,
+            hurries: true,
         }
     }
 
@@ -131,7 +136,8 @@
         }
         if let Some(connection) = &mut self.connection {
             let since = self.last.saturating_sub(u64::from(new && self.overlaps));
-            connection.push(changelog::poll(&self.host, since, WAIT.as_millis()));
+            let wait = if std::mem::take(&mut self.hurries) { AT_ONCE } else { WAIT };
+            connection.push(changelog::poll(&self.host, since, wait.as_millis()));
             (self.asked, self.asked_at, self.due) = (true, now, now + WAIT + PATIENCE);
             if matches!(connection.is_up(), Ok(true)) && connection.flush().is_err() {
                 self.lose(now);
@@ -141,6 +147,17 @@
         overdue
     }
 
+    /// When the poll that is out or was answered last was asked.
+    pub fn asked_at(&self) -> Duration {
+        self.asked_at
+    }
+
+    /// Asks for an answer at once, after what may have come meanwhile: a poll that is out is given its patience anew.
+    pub fn hurry(&mut self, now: Duration) {
+        self.hurries = true;
+        self.due = if self.asked { now + PATIENCE } else { now };
+    }
+
     pub fn lose(&mut self, now: Duration) {
         self.connection = None;
         (self.asked, self.ended, self.due) = (false, false, now + AGAIN);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 use crate::reading::{self, Reading, Share, Terms};
 use crate::ring::{Memory, Ring, Window, marked, mix};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
+use myrtlegauge_comeback::{Again, Filled};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -71,13 +72,8 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
-/// fills out that are always let be, of all routers of a source and of each; and times as many at the start.
-const FILLS_LEAST: f64 = 8.0;
-const OWN_LEAST: f64 = 1.0;
-const FILLS_FIRST: f64 = 4.0;
-/// the bound is cut to this share when fills come late, once in so many ms: about the time a fill takes.
-const FILLS_CUT: f64 = 0.8;
-const FILLS_CUT_EVERY: Duration = Duration::from_millis(250);
+/// part of the time left that a fill may wait for its turn, for what comes after it may take longer than thought.
+const TURN_PART: f64 = 0.3;
 /// ms; a copy returned so lately is taken to be held still: under what caches keep unused.
 const HELD: Duration = Duration::from_millis(3000);
 /// objects remembered as seen; a power of two, some minutes of a busy router.
@@ -99,6 +95,8 @@
     busy: bool,
     /// By object or group, when it was purged.
     purges: BTreeMap<Purged, Duration>,
+    /// Purges of about then may not have been told here: as if all had been purged.
+    doubted: Option<Duration>,
     /// By key, when a copy of it was last returned; zero: only asked for.
     seen: Memory<Duration>,
     /// By object, where sizes are untold, the sending time of a part as learnt, s.
@@ -109,6 +107,9 @@
     carried: f64,
     sent_work: f64,
     waking: bool,
+    /// GETs whose fills wait for their turn.
+    waiting: Vec<Place>,
+    again: Again,
     /// When to ask to follow the list; never where it comes unasked.
     follow_at: Duration,
 }
@@ -154,19 +155,6 @@
         marked(self.failures, FEW) > FEW / 2
     }
 
-    /// Bounds the fills out from one source by whether they come in time: guards the location's link, parents
-    /// and the origin; one late fill in four is chance. It hurts where a slow cache spoils a source's count.
-    fn bound_fills(&mut self, in_time: bool, now: Duration) {
-        self.late_fills = self.late_fills << 1 | u32::from(!in_time);
-        let late = marked(self.late_fills, FEW) > 1;
-        if in_time {
-            self.fill_limit += if self.fills_out + 1.0 >= self.fill_limit { 1.0 } else { 0.0 };
-        } else if late && now >= self.fills_cut_at + FILLS_CUT_EVERY {
-            self.fill_limit = (self.fill_limit.min(self.fills_out + 1.0) * FILLS_CUT).max(self.fill_least);
-            self.fills_cut_at = now;
-        }
-    }
-
     /// What a fill of a sending time takes from there, s, or a hit, by its wait and pace as seen lately.
     fn time_for(&self, sending: f64, now: Duration) -> f64 {
         let lately = 0.5f64.powf(now.saturating_sub(self.filled_at).as_secs_f64() / PACE_HALVES);
@@ -214,8 +202,11 @@
 impl Router {
     pub fn new(told: &Values, seed: u64) -> Result<Self, String> {
         let (site, services) = (Footprint::read(told)?, DeliveryService::read_all(told)?);
-        let learnt =
-            |ds: &DeliveryService| Learnt { accepted_age: ds.fresh, sending: ds.objective * SENDING_FIRST };
+        let learnt = |ds: &DeliveryService| Learnt {
+            accepted_age: ds.fresh,
+            sending: ds.objective * SENDING_FIRST,
+            ..Learnt::default()
+        };
         Ok(Self {
             learnt: services.iter().map(learnt).collect(),
             follow_at: if site.ask_list { ZERO } else { Duration::MAX },
@@ -230,12 +221,15 @@
             fills: Window::new(WINDOW),
             busy: false,
             purges: BTreeMap::new(),
+            doubted: None,
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
             link: Crowd::default(),
             carried: 0.0,
             sent_work: 0.0,
             waking: false,
+            waiting: Vec::new(),
+            again: Again::default(),
         })
     }
 
@@ -271,6 +265,7 @@
         let (service, learnt) = (&self.services[ds], &mut self.learnt[ds]);
         for _ in 0..if self.busy { misses.min(u64::BITS) } else { 0 } {
             learnt.accepted_age = (learnt.accepted_age * 2).min(service.fresh + service.grace);
+            learnt.ease.raise(learnt.accepted_age);
         }
     }
 
@@ -283,7 +278,7 @@
             let warmth = if h.failed() { Some(self.start(&h.entry).from) } else { self.warmth(host, now) };
             let takes = h.usable(now) && (warmth.is_none() || near || !parental);
             let part = if takes { warmth.unwrap_or(1.0) } else { 0.0 };
-            Share { host, mark: h.entry.mark, points, part, near: near || !parental, fills: h.fill_limit }
+            Share { host, mark: h.entry.mark, points, part, near: near || !parental, fills: h.fills.limit() }
         };
         let terms = self.services.iter().zip(&self.learnt).map(|(ds, learnt)| Terms {
             accepted_age: if ds.write { ZERO } else { learnt.accepted_age },
@@ -333,9 +328,10 @@
     }
 
     /// Cold-start budget, also of a host lost and found again: a fixed part of the keys, the same at every
-    /// router, within this router's part of what the host bears. It hurts where neighbours are overloaded.
+    /// router, within this router's part of what the host bears.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
+        let since = self.hosts[host].entry.started.max(self.hosts[host].cold_since);
         let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
@@ -344,12 +340,7 @@
             return false;
         }
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
-        let h = &mut self.hosts[host];
-        h.spent = (h.spent - now.saturating_sub(h.spent_at).as_secs_f64() * rate).max(0.0);
-        h.spent_at = now;
-        let fits = h.spent + work <= rate * self.site.falls_in;
-        h.spent += if fits { work } else { 0.0 };
-        fits
+        self.hosts[host].budget.admits(work, (rate, self.site.falls_in), since, self.chance.f64(), now)
     }
 
     /// A tokened GET that may have run stays in the group that drops its repeats, and in the window.
@@ -367,12 +358,13 @@
 
     fn purged_at(&self, get: &Get) -> Option<Duration> {
         let named = [Purged::Object(get.object), Purged::Group(get.group)];
-        named.iter().filter_map(|named| self.purges.get(named)).max().copied()
+        named.iter().filter_map(|named| self.purges.get(named)).copied().chain(self.doubted).max()
     }
 
     /// The oldest copy that will do.
-    fn oldest(&self, get: &Get, now: Duration) -> Duration {
-        reading::oldest(self.learnt[get.ds].accepted_age, self.purged_at(get), now, self.site.tick)
+    fn oldest(&self, get: &Get, key: u64, now: Duration) -> Duration {
+        let accepted = self.learnt[get.ds].ease.accepted(key, self.services[get.ds].fresh, now);
+        reading::oldest(accepted, self.purged_at(get), now, self.site.tick)
     }
 
     /// Times its sending time that a GET takes at a cache.
@@ -402,19 +394,23 @@
     }
 
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
-    /// else, while busy, a full or failed parent for what it holds, told by the flag that comes with it.
+    /// else, while busy, a full parent for what it holds, told by the flag that comes with it.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
-        let room = |h: &Host| !fill || h.fills_out < h.fill_limit && h.time_for(sending, now) <= within;
+        let went = self.gets[place].goes.map(|(host, _)| host);
+        let room = |h: &Host| {
+            let paced = Some(h.entry.host) == went || h.fills.has_room(h.fills_out, now);
+            !fill || paced && h.time_for(sending, now) <= within
+        };
         let (mut full, mut listed) = (None, None);
         let mut fit = |near: bool| {
             ring.walk(key).find(|&host| {
                 let h = &self.hosts[host];
                 let open = self.near(&h.entry) == near && Some(host) != tried && h.usable(now);
                 full = full.or(Some(host).filter(|_| open && !room(h)));
-                listed = listed.or(Some(host).filter(|_| h.on()));
+                listed = listed.or(Some(host).filter(|_| h.usable(now)));
                 open && full.is_none() && self.admits(host, key, work, now)
             })
         };
@@ -428,6 +424,25 @@
         })
     }
 
+    /// Has a fill wait for its turn at the ring's parent, else the origin, if it is in time then; none: its bound there is
+    /// no matter of time. Guards GETs that come unevenly; it hurts by late fills where the source slows meanwhile.
+    fn waits(&mut self, place: Place, within: f64, now: Duration) -> Option<bool> {
+        let InHand { key, sending, goes, .. } = self.gets[place];
+        let near =
+            self.parents.walk(key).find(|&h| self.near(&self.hosts[h].entry) && self.hosts[h].usable(now));
+        let host = near.or(self.origin).filter(|_| goes.is_none())?;
+        let h = &mut self.hosts[host];
+        let at = h.fills.opens_at(now)?;
+        let wait = (at - now).as_secs_f64();
+        let in_time = wait <= within * TURN_PART && wait + h.time_for(sending, now) <= within;
+        if in_time {
+            h.fills.sent(now);
+            self.gets[place].goes = Some((host, at));
+            self.waiting.push(place);
+        }
+        Some(in_time)
+    }
+
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
     fn rank(&mut self, key: u64) -> u8 {
         if self.seen.get(key).is_none() {
@@ -500,11 +515,25 @@
             return self.give_up(place);
         }
         let origin = r.origin.filter(|&origin| write && tried[1] != Some(origin));
-        let late = fill && sending * r.link.slowness(r.site.neighbours, r.site.link) > within;
+        // While the origin is busy a client's try again has a fill within a budget: first ones can still be in time.
+        let late = fill && sending * r.link.slowness(r.site.neighbours, r.site.link) > within
+            || get.again && r.busy && !r.again.allows();
         let source = origin.map(|origin| (origin, false));
         let source = source.or_else(|| if late { None } else { r.source(place, fill, within, now) });
         // No fill would be in time: the cache is asked for what it holds, once.
         let look = chosen.filter(|_| source.is_none() && !write && !r.gets[place].source_lacks);
+        if fill && !late && chosen.is_some() && source.is_none_or(|(_, held)| held) {
+            match r.waits(place, within.min(left.as_secs_f64()), now) {
+                Some(true) => return,
+                // No room in a part under one fill, a share among many, nor at the origin: a failed fill in the flag's count.
+                Some(false) => {
+                    let full = |o: HostIndex| !r.hosts[o].fills.has_room(r.hosts[o].fills_out, now);
+                    let refused = u32::from(r.origin.is_none_or(full));
+                    r.fills.count(refused, refused);
+                }
+                None => {}
+            }
+        }
         let source = source.or(look.map(|host| (host, false)));
         let (source, held_only) = source.map_or((None, false), |(host, held)| (Some(host), held));
         if source.is_none() && !write {
@@ -522,7 +551,7 @@
             source: straight.or(source).unwrap_or(host),
             timeout: left,
             keep: if write { 0 } else { r.rank(key) },
-            accepted_age: if write { ZERO } else { r.oldest(&get, now) },
+            accepted_age: if write { ZERO } else { r.oldest(&get, key, now) },
             join: r.site.joins && !write,
             held_only,
             renew: !r.busy && !write,
@@ -534,9 +563,16 @@
         h.due = if h.crowd.out > 0.0 { h.due.min(overdue) } else { overdue };
         h.crowd.out += 1.0;
         let g = &mut r.gets[place];
+        let turn = g.goes.take();
         g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
         let fills = f64::from(u8::from(fill));
-        r.hosts[forward.source].fills_out += fills;
+        if fill {
+            r.hosts[forward.source].fills_out += fills;
+            if turn.is_none() && !held_only {
+                r.hosts[forward.source].fills.sent(now);
+            }
+            r.again.filled(get.again);
+        }
         r.link.out += fills;
         g.hops += 1;
         self.out.forward(place, &forward);
@@ -647,10 +683,14 @@
         if (filled || hit) && returned || unfinished {
             r.hosts[if hit { sent.to.host } else { sent.to.source }].learn_time(spent, wait, sending, now);
         }
+        let mut pressed = false;
         if !sent.to.held_only && (filled && returned || failed) {
-            r.hosts[sent.to.source].bound_fills(in_time && filled, now);
+            let source = &mut r.hosts[sent.to.source];
+            let waited = (r.site.notes && filled).then_some(wait / ds.objective);
+            let told = Filled { in_time: in_time && filled, waited, took: o.spent };
+            pressed = source.fills.ended(source.fills_out, &told, now);
         }
-        let (ds, learnt, h) = (&r.services[get.ds], &mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
+        let (learnt, h) = (&mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         if returned {
             r.sent_work += if cold { 0.0 } else { learnt.sending };
             r.seen.set(key, now);
@@ -661,7 +701,8 @@
             let object = mix(get.object);
             let known = r.sizes.get(object).filter(|&known| known < seen);
             r.sizes.set(object, known.map_or(seen, |known| blended(known, seen, BLEND)));
-            learnt.sending = blended(learnt.sending, seen, BLEND);
+            learnt.parts += 1.0;
+            learnt.sending = blended(learnt.sending, seen, BLEND.max(1.0 / learnt.parts));
         }
         if hit && returned && get.size_kb > 0.0 {
             h.crowd.learn(r.site.neighbours, sending / spent.max(1e-3), CROWDED);
@@ -673,8 +714,7 @@
         } else if (source_failed && o.note != Note::OriginFailed || silent) && !straight {
             r.hosts[sent.to.source].judge(now, false);
         }
-        let slow = if r.site.notes { wait > ds.objective } else { !in_time };
-        let bad = filled && slow || source_failed;
+        let bad = filled && (pressed || !in_time && !r.site.notes) || source_failed;
         let by_origin = o.note == Note::FilledFromOrigin || filled && Some(sent.to.source) == r.origin;
         let from_origin = if r.site.notes { by_origin } else { filled };
         if from_origin || bad {
@@ -696,7 +736,8 @@
         let Some(h) = r.hosts.get_mut(source).filter(|_| ds < r.services.len()) else { return };
         h.fills_out = f64::from(out);
         if all > 0 {
-            h.bound_fills(bad * 2 <= all, self.now);
+            let told = Filled { in_time: bad * 2 <= all, waited: None, took: ZERO };
+            h.fills.ended(h.fills_out, &told, self.now);
         }
         r.fills.count(if Some(source) == r.origin { all } else { bad }, bad);
         r.missed(ds, all);
@@ -720,11 +761,10 @@
                 *h = Host::default();
             } else if h.entry.started < entry.started {
                 // A fresh start: what was known of the old process does not count.
-                (h.failures, h.trials, h.crowd.room, h.cold_since, h.fill_limit) = (0, 0, 0.0, ZERO, 0.0);
+                (h.failures, h.trials, h.crowd.room, h.cold_since, h.fills) = Default::default();
             }
             h.entry = *entry;
-            h.fill_least = (FILLS_LEAST / sharers).max(OWN_LEAST);
-            h.fill_limit = if h.fill_limit > 0.0 { h.fill_limit } else { h.fill_least * FILLS_FIRST };
+            h.fills.begin(sharers, r.chance.f64(), self.now);
         }
         if laid {
             r.caches = r.ring(|r, e| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind);
@@ -738,6 +778,23 @@
         self.r.purges.entry(named).and_modify(|known| *known = at.max(*known)).or_insert(at);
     }
 
+    /// Since when purges may have been missed; none: all are known.
+    pub fn doubted(&mut self, since: Option<Duration>) {
+        self.r.doubted = since;
+    }
+
+    /// Sends on the fills whose turn it is; a place that is another GET's by now is passed over.
+    fn turns(&mut self) {
+        let now = self.now;
+        for place in std::mem::take(&mut self.r.waiting) {
+            match self.r.gets.get(place).and_then(|g| g.goes) {
+                Some((_, at)) if at <= now => self.decide(place),
+                Some(_) => self.r.waiting.push(place),
+                None => {}
+            }
+        }
+    }
+
     /// The wake-up: running means.
     pub fn woken(&mut self) {
         let (now, r) = (self.now, &mut *self.r);
@@ -756,12 +813,14 @@
         }
     }
 
-    /// Closes a round: the design's return to idle, purges that all have obeyed, the next wake-up.
+    /// Closes a round: fills whose turn it is, the design's return to idle, purges that all have obeyed, the next wake-up.
     fn settle(&mut self) {
+        self.turns();
         let (now, r) = (self.now, &mut *self.r);
         r.busy = r.counts_busy();
-        if !r.busy {
-            r.learnt.iter_mut().zip(&r.services).for_each(|(learnt, ds)| learnt.accepted_age = ds.fresh);
+        for (learnt, ds) in r.learnt.iter_mut().zip(&r.services).filter(|_| !r.busy) {
+            learnt.accepted_age = ds.fresh;
+            learnt.ease.fall(ds.fresh, now);
         }
         r.purges.retain(|_, at| now < *at + r.site.purged_within + r.site.tick);
         if now >= r.follow_at {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,6 +19,8 @@
     /// Kilobytes to be sent; 0 where untold.
     pub size_kb: f64,
     pub viewer_timeout: Duration,
+    /// Its client marked it as a try after the first.
+    pub again: bool,
 }
 
 /// How a forward ended.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a router remembers of hosts and of GETs in hand: plain records.
 
 use crate::interface::{Entry, Forward, Get, HostIndex};
+use myrtlegauge_comeback::{Budget, Ease, Pace};
 use std::time::Duration;
 
 /// A cache host, a parent or the origin. All zero: warm, healthy, not crowded, not listed.
@@ -19,22 +20,17 @@
     pub cold_since: Duration,
     /// Forwards out there, and what its link fits.
     pub crowd: Crowd,
-    /// Forwards out that are probably fills from there, how many may be, how many always, and the last cut.
+    /// Forwards out that are probably fills from there, and the bound on them.
     pub fills_out: f64,
-    pub fill_limit: f64,
-    pub fill_least: f64,
-    pub fills_cut_at: Duration,
-    /// Last fills from there, newest in the lowest bit, 1 a late one.
-    pub late_fills: u32,
+    pub fills: Pace,
     /// Of fills from there, and of hits at a cache: their wait, s, times their sending time that they took then,
     /// their mean sending time, the last.
     pub wait: f64,
     pub pace: f64,
     pub pace_sending: f64,
     pub filled_at: Duration,
-    /// Work sent while cold, s, draining at the budget's rate.
-    pub spent: f64,
-    pub spent_at: Duration,
+    /// Work sent while cold.
+    pub budget: Budget,
 }
 
 /// What this router has out on a link, its mean lately, and the transfers that fit, as learnt; 0: not yet.
@@ -77,13 +73,18 @@
     /// Answered errored for no reason of its source's; held against it only if another host returns this GET.
     pub doubted: Option<HostIndex>,
     pub source_lacks: bool,
+    /// Its fill's turn at a source, and when that is.
+    pub goes: Option<(HostIndex, Duration)>,
     pub answered: bool,
 }
 
 /// What a router has learnt of a delivery service.
+#[derive(Default)]
 pub struct Learnt {
-    /// The design's accepted age; rests at the fresh time.
+    /// The design's accepted age; rests at the fresh time, and goes back there for one key after another.
     pub accepted_age: Duration,
-    /// Mean sending time, s.
+    pub ease: Ease,
+    /// Mean sending time, s, and of how many parts it was learnt: the first ones count for more.
     pub sending: f64,
+    pub parts: f64,
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -11,6 +11,8 @@
 #[test]
 fn a_get_goes_on_as_it_came_and_its_answer_comes_back_whole() {
     let mut rig = Rig::new();
+    rig.changes(&json!({"seq": 1, "results": []}).to_string());
+    rig.settle(50);
     rig.get(1, "video", &[]);
     rig.until(1);
     rig.answer(1, "200", "why=TCP_MISS,fill=12,rev=4be0c1927d55a6f3,since=1764576000123", "the bytes");
@@ -31,6 +33,30 @@
     assert_snapshot!(rig.trace);
 }
 
+#[test]
+fn a_copy_is_called_current_only_by_a_host_and_once_the_log_has_answered() {
+    let mut rig = Rig::new();
+    let known = [("HTTP_X_KNOWN", "4be0c1927d55a6f3")];
+    rig.get(1, "photo", &known);
+    rig.until(1);
+    rig.say("the client's tag stayed here: purges since the start are not known yet");
+    rig.answer(1, "200", "why=TCP_HIT,rev=4be0c1927d55a6f3,since=1764576000123", "the bytes");
+    rig.until(1);
+    rig.changes(&json!({"seq": 1, "results": []}).to_string());
+    rig.settle(50);
+    rig.say("the change log has answered");
+    rig.get(2, "photo", &known);
+    rig.until(1);
+    rig.answer(2, "304", "why=TCP_HIT,rev=4be0c1927d55a6f3,since=1764576000123", "");
+    rig.until(1);
+    rig.say("a host gives the bytes: nothing is called current");
+    rig.get(3, "photo", &known);
+    rig.until(1);
+    rig.answer(3, "200", "why=TCP_HIT,rev=4be0c1927d55a6f3,since=1764576000123", "the bytes");
+    rig.until(1);
+    assert_snapshot!(rig.trace);
+}
+
 #[test]
 fn a_write_carries_its_body_and_is_never_sent_twice_unless_proven_not_run() {
     let mut rig = Rig::new();
