One mix and one count of marked bits for the module and its cores; the clock is read once a turn

Need: on reading the change again, comeback's Ease had a hash of its own beside ring's mix, Pace a count of marked bits beside ring's marked; the start of a cold host was worked out in warmth and again in admits; a GET's mark as a try again was parsed three times; the gap was looked for with a second reading of the clock in each turn; three methods of Record were the same lines.

Change: crates/comeback/src/bits.rs has mix, place and marked for both; Host::began; get.again is read where it stands; the gap is looked for where the turn's time is set.

Measured: all tests of module, cores and dispatcher pass, no trace changed.

--- a/crates/comeback/src/ease.rs
+++ b/crates/comeback/src/ease.rs
@@ -2,6 +2,7 @@
 //! refused at the moment when the flag falls, all would be asked for anew together, and again one fresh time later: what
 //! was filled together grows stale together. So the fresh time is taken back for one key after another.
 
+use crate::bits::place;
 use std::time::Duration;
 
 /// The least time over which the fresh time is taken back: the window in which the flag is counted.
@@ -14,12 +15,8 @@
     fell_at: Option<Duration>,
 }
 
-/// A key's place in the order in which the fresh time is taken back, from 0 to 1; the same at every router, so that what
-/// one of them refuses is filled once for all, and other than a key's place in a cold host's part.
-fn place(key: u64) -> f64 {
-    let mixed = (key ^ 0x9e37_79b9_7f4a_7c15).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    (mixed ^ mixed >> 33) as f64 / u64::MAX as f64
-}
+/// Keeps a key's place in the order in which the fresh time is taken back apart from its place in a cold host's part.
+const APART: u64 = 0x9e37_79b9_7f4a_7c15;
 
 impl Ease {
     /// The age that is accepted for all while the flag stands.
@@ -39,12 +36,13 @@
         }
     }
 
-    /// The oldest copy of a key that will do. Guards the origin from all that grew stale while it was busy; it hurts by
+    /// The oldest copy of a key that will do, in an order that is the same at every router, so that what one of them
+    /// refuses is filled once for all. Guards the origin from all that grew stale while it was busy; it hurts by
     /// copies past their fresh time, of some keys, for one fresh time more.
     pub fn accepted(&self, key: u64, fresh: Duration, now: Duration) -> Duration {
         let Some(at) = self.fell_at else { return self.raised.max(fresh) };
         let part = now.saturating_sub(at).div_duration_f64(fresh.max(OVER_LEAST));
-        if place(key) >= part { self.raised.max(fresh) } else { fresh }
+        if place(key ^ APART) >= part { self.raised.max(fresh) } else { fresh }
     }
 }
 
--- a/crates/comeback/src/lib.rs
+++ b/crates/comeback/src/lib.rs
@@ -3,6 +3,7 @@
 //! own: time and events come in, what may be done comes out. The decision module asks it; it sends nothing itself.
 
 pub mod again;
+pub mod bits;
 pub mod budget;
 pub mod ease;
 pub mod pace;
--- a/crates/comeback/src/pace.rs
+++ b/crates/comeback/src/pace.rs
@@ -2,19 +2,20 @@
 //! between them, from the start on.
 //!
 //! The bound begins at a share of a few fills for all routers together, doubles while fills are easy and it is reached, is
-//! cut when they wait for long, come late or fail, and from the first cut on rises by a few
-//! fills for all routers together in the time that a fill takes. A router's part may be under one fill: then fills are let
-//! out one by one, as far apart as keeps the part; routers that start together begin at moments of their own.
+//! cut when they wait for long, come late or fail, and from the first cut on rises by a few fills for all routers together
+//! in the time that a fill takes. A router's part may be under one fill: then fills are let out one by one, as far apart as
+//! keeps the part; routers that start together begin at moments of their own.
 
+use crate::bits::marked;
 use std::time::Duration;
 
 /// Fills out that all routers of a source together are let have at first, and always: a few, which a small source bears,
 /// and a part of one for each router, since a source that many share is sized for many.
 const FIRST: (f64, f64) = (4.0, 0.1);
+const LEAST: (f64, f64) = (4.0, 0.05);
 /// What is added for each router at first, over the square of their count: the fewer there are, the more each sees of
 /// what its fills do to the source.
 const FIRST_FEW: f64 = 24.0;
-const LEAST: (f64, f64) = (4.0, 0.05);
 /// Fills that all together add in the time that a fill takes, once the bound was cut.
 const RISE: f64 = 16.0;
 /// Parts of its objective that a fill may wait from which the bound rises no more, and over which it is cut: where many
@@ -120,10 +121,10 @@
         let (easy, pressed) = (mark(EASY), filled.in_time && waited > mark(PRESSED));
         self.bad = self.bad << 1 | u32::from(!filled.in_time);
         self.takes += BLEND * (filled.took.as_secs_f64() - self.takes);
-        let many = !filled.in_time && (self.bad & ((1 << FEW) - 1)).count_ones() > 1;
+        let many = !filled.in_time && marked(self.bad, FEW) > 1;
         let (least, first) = (self.part(LEAST), self.first());
-        let apart = Duration::from_secs_f64(self.takes).min(CUT_EVERY);
-        if (pressed || many) && self.cut_at.is_none_or(|at| now >= at + apart) {
+        let every = Duration::from_secs_f64(self.takes).min(CUT_EVERY);
+        if (pressed || many) && self.cut_at.is_none_or(|at| now >= at + every) {
             let share = if pressed { (easy / waited).clamp(CUT_MOST, CUT_LEAST) } else { CUT_MOST };
             self.limit = (self.limit.min((out + 1.0).max(least)) * share).max(least);
             self.cut_at = Some(now);
--- a/crates/comeback/src/record.rs
+++ b/crates/comeback/src/record.rs
@@ -47,6 +47,13 @@
     held: [u64; HELD.len()],
 }
 
+/// Notes the first time that something came. True: it is this one.
+fn first(noted: &mut Option<Duration>, since: Duration) -> bool {
+    let first = noted.is_none();
+    noted.get_or_insert(since);
+    first
+}
+
 impl Record {
     pub fn begin(now: Duration) -> Self {
         Self {
@@ -67,16 +74,14 @@
 
     /// The list is known: it is ready for clients. True: only now.
     pub fn listed(&mut self, now: Duration) -> bool {
-        let first = self.listed.is_none();
-        self.listed.get_or_insert(now.saturating_sub(self.started));
-        first
+        let since = self.since(now);
+        first(&mut self.listed, since)
     }
 
     /// The change log answered since the start: purges and the list are whole. True: only now.
     pub fn whole(&mut self, now: Duration) -> bool {
-        let first = self.whole.is_none();
-        self.whole.get_or_insert(now.saturating_sub(self.started));
-        first
+        let since = self.since(now);
+        first(&mut self.whole, since)
     }
 
     pub fn is_whole(&self) -> bool {
@@ -93,9 +98,8 @@
     pub fn returned(&mut self, in_time: bool, now: Duration) -> bool {
         self.turn(now);
         self.steps[self.at as usize % STEPS].lost += u32::from(!in_time);
-        let first = self.returned.is_none();
-        self.returned.get_or_insert(now.saturating_sub(self.started));
-        first
+        let since = self.since(now);
+        first(&mut self.returned, since)
     }
 
     /// One was not, for this reason.
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -88,7 +88,7 @@
         get.viewer_timeout = get.viewer_timeout.min(self.manners.longest);
         self.counters.taken += 1;
         self.record.took(self.now);
-        self.counters.retries += u64::from(door::Door::is_retry(&request));
+        self.counters.retries += u64::from(get.again);
         self.clients.get_mut(key)?.open.push((number, place));
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
@@ -112,7 +112,7 @@
 
     /// Pays what is owed for a GET; false if it was answered or abandoned before.
     pub fn pay(&mut self, place: Place, answer: &Answer) -> bool {
-        let retry = door::Door::is_retry(&self.hands.at(place).request);
+        let retry = self.hands.at(place).get.again;
         let Some((key, number)) = self.hands.settle(place) else { return false };
         if let Some(client) = self.clients.get_mut(key) {
             client.close(number);
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether a request is marked as a try after the first. It changes no byte: a mark that can't be read is none.
-    pub fn is_retry(request: &Request) -> bool {
+    fn is_retry(request: &Request) -> bool {
         let first = request.first.len() == KEY_LONG && hex(&request.first).is_some();
         first && digits(&request.attempt).is_some_and(|number| number > 0)
     }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -92,7 +92,6 @@
     /// All that one turn of the loop brought, as one round; and another at once where one ended forwards here.
     pub fn turn(&mut self) {
         let Self { router, desk } = self;
-        desk.look_for_gap();
         desk.read();
         desk.write();
         while desk.has_news() {
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -59,14 +59,14 @@
         }
     }
 
-    /// After a time in which nothing ran here, a machine asleep or a process frozen, what is believed is old: purges and
+    /// After a time in which nothing ran here, since `before`, a machine asleep or a process frozen, what is believed is old: purges and
     /// the list are doubted until the change log has answered what is asked from now on, at once.
     ///
     /// Guards against copies from before a purge that was told meanwhile. It hurts by fills for what is asked until then.
-    pub fn look_for_gap(&mut self) {
-        let now = self.clock.now();
-        if now >= self.now + FROZEN {
-            let gap_ms = (now - self.now).as_millis() as u64;
+    pub fn look_for_gap(&mut self, before: Duration) {
+        let now = self.now;
+        if now >= before + FROZEN {
+            let gap_ms = (now - before).as_millis() as u64;
             log::warn!(gap_ms; "nothing ran here for a while: copies are doubted until the change log has answered");
             self.doubted = Some(now);
             self.counters.gaps += 1;
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -19,7 +19,8 @@
 impl Desk {
     /// Reads what came on all that stirred, as far as buffers allow.
     pub fn read(&mut self) {
-        self.now = self.clock.now();
+        let before = std::mem::replace(&mut self.now, self.clock.now());
+        self.look_for_gap(before);
         std::mem::swap(&mut self.stirred, &mut self.stirring);
         for i in 0..self.stirring.len() {
             let who = self.stirring[i];
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,8 +15,9 @@
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
 use crate::reading::{self, Reading, Share, Terms};
-use crate::ring::{Memory, Ring, Window, marked, mix};
+use crate::ring::{Memory, Ring, Window};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
+use myrtlegauge_comeback::bits::{marked, mix};
 use myrtlegauge_comeback::{Again, Filled};
 use slab::Slab;
 use std::collections::BTreeMap;
@@ -319,9 +320,8 @@
 
     /// Share of its full work that a host which started lately may get; none of a warm one.
     fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
-        let Host { entry, cold_since, .. } = &self.hosts[host];
+        let (entry, since) = (&self.hosts[host].entry, self.hosts[host].began());
         let start = self.start(entry);
-        let since = entry.started.max(*cold_since);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
         cold.then_some(reading::stepped(start.from + (1.0 - start.from) * age))
@@ -331,7 +331,6 @@
     /// router, within this router's part of what the host bears.
     fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
-        let since = self.hosts[host].entry.started.max(self.hosts[host].cold_since);
         let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
         let entry = &self.hosts[host].entry;
@@ -340,7 +339,8 @@
             return false;
         }
         let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
-        self.hosts[host].budget.admits(work, (rate, self.site.falls_in), since, self.chance.f64(), now)
+        let (h, bears) = (&mut self.hosts[host], (rate, self.site.falls_in));
+        h.budget.admits(work, bears, h.began(), self.chance.f64(), now)
     }
 
     /// A tokened GET that may have run stays in the group that drops its repeats, and in the window.
@@ -396,12 +396,12 @@
     /// The parent that the ring names, or the next that can take the fill, own hub first; else the origin;
     /// else, while busy, a full parent for what it holds, told by the flag that comes with it.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
-        let InHand { get, key, tried: [_, tried], sending, .. } = self.gets[place];
+        let InHand { get, key, tried: [_, tried], sending, goes, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
-        let went = self.gets[place].goes.map(|(host, _)| host);
         let room = |h: &Host| {
-            let paced = Some(h.entry.host) == went || h.fills.has_room(h.fills_out, now);
+            let paced =
+                goes.is_some_and(|(host, _)| host == h.entry.host) || h.fills.has_room(h.fills_out, now);
             !fill || paced && h.time_for(sending, now) <= within
         };
         let (mut full, mut listed) = (None, None);
--- a/src/reading.rs
+++ b/src/reading.rs
@@ -2,7 +2,8 @@
 //! service. The rules by which a key finds its host stand here once, for the decision module and for its followers.
 
 use crate::interface::HostIndex;
-use crate::ring::{Ring, mix};
+use crate::ring::Ring;
+use myrtlegauge_comeback::bits::{mix, place};
 use std::time::Duration;
 
 /// The place of an object's part on the ring, and what its part of a cold host's keys goes by.
@@ -12,7 +13,7 @@
 
 /// Whether a key is in the part, from 0 to 1, of its keys that a host takes: the same at every router.
 pub fn in_part(key: u64, mark: u64, part: f64) -> bool {
-    mix(key ^ mark) as f64 / u64::MAX as f64 <= part
+    place(key ^ mark) <= part
 }
 
 /// Part of its keys that a host takes, in steps that stay the same for a while: a follower is told of a step.
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,13 @@
     pub budget: Budget,
 }
 
+impl Host {
+    /// Since when it may be cold: it started then, or was lost and found again; zero: never.
+    pub fn began(&self) -> Duration {
+        self.entry.started.max(self.cold_since)
+    }
+}
+
 /// What this router has out on a link, its mean lately, and the transfers that fit, as learnt; 0: not yet.
 #[derive(Clone, Default)]
 pub struct Crowd {
