The lab's proofs share one start, one verdict and what stood in the xds proof

Need: on reading the change again, the return proof had written anew how a proof is started and ends (as xds and client had); the stand-ins rested on pieces of the xds proof (list lines, the lag's watch, the operator file, what the system says of a process); a listener was opened by the same lines in four places; the fleet set a count in the operator file that it set over again, kept the times of sheds that nothing read, and wrote twice the list of objects, the lines of the list and the pairs of ways.

Change: stand has run, verdict, listener, line and watch; stand/process the operator file and what the system says. In fleet one objects, lines and pairs each; what was dead is gone. No check, bound or case is another.

--- a/crates/lab/src/client/crowd.rs
+++ b/crates/lab/src/client/crowd.rs
@@ -365,11 +365,11 @@
         }
     }
     let each = began.elapsed().as_nanos() as u64 / u64::from(CALLS);
-    let before = crate::xds::service::used(std::process::id()).memory_kb;
+    let before = crate::stand::process::used(std::process::id()).memory_kb;
     let clients: Vec<_> = (0..500)
         .filter_map(|seed| myrtlegauge_client::Client::new(service.clone(), places.clone(), seed).ok())
         .collect();
-    let after = crate::xds::service::used(std::process::id()).memory_kb;
+    let after = crate::stand::process::used(std::process::id()).memory_kb;
     let weighs = (after - before) as f64 / clients.len().max(1) as f64;
     println!("a call in the core {each} ns; an idle client {weighs:.1} KB");
     json!({"call_ns": each, "idle_client_kb": weighs})
--- a/crates/lab/src/client/mod.rs
+++ b/crates/lab/src/client/mod.rs
@@ -11,7 +11,7 @@
 use crate::stand::hosts::Host;
 use crate::stand::ledger::Ledger;
 use crate::stand::process::Dispatcher;
-use crate::xds::{line, service};
+use crate::stand::{self, line, process, watch};
 use bad::Bad;
 use myrtlegauge_client::{Client, Effect, Get, Outcome, Place, Resend, Service, Shed};
 use serde_json::json;
@@ -25,7 +25,6 @@
 /// What wakes and threads cost beyond a budget.
 const SLACK: Duration = Duration::from_millis(60);
 const TOO_BUSY: Duration = Duration::from_millis(40);
-const NOT_JUDGED: u8 = 3;
 /// Answers lost on each way where the run is to be seen to fail.
 const FORCED: u64 = 2;
 const WINDOW: Duration = Duration::from_millis(1500);
@@ -68,12 +67,7 @@
         println!("{}", json!({"proof": "client-crowd", "seed": plan.seed, "held": true, "measured": told}));
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let held = runtime.map_err(|e| e.to_string()).and_then(|runtime| runtime.block_on(prove(plan)));
-    held.unwrap_or_else(|fault| {
-        eprintln!("the proof can't be run: {fault}");
-        ExitCode::FAILURE
-    })
+    stand::run(prove(plan))
 }
 
 /// What the clients found, all together.
@@ -205,7 +199,7 @@
     }
     tokio::spawn(Arc::clone(&log).serve());
     log.list(&hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>(), true, Tells::List);
-    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
+    let text = process::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
     let mut dispatchers = Vec::new();
     for _ in 0..2 {
         let dispatcher = Dispatcher::start(&text, log.address, plan.verbose)?;
@@ -237,7 +231,7 @@
             (Arc::clone(&stop), Arc::clone(&found), (plan.seed, plan.rate, plan.without));
         threads.push(std::thread::spawn(move || client(index, places, plan, &stop, &found)));
     }
-    let watch = tokio::spawn(crate::xds::watch(Arc::clone(&lag)));
+    let watch = tokio::spawn(watch(Arc::clone(&lag)));
     let mut chance = fastrand::Rng::with_seed(plan.seed.wrapping_mul(77));
     let until = Instant::now() + Duration::from_secs(seconds);
     let (mut kills, mut at) = (0, Instant::now());
@@ -380,9 +374,5 @@
         "calls": found.asked, "outcomes": found.outcomes, "resends": why, "effects": effects, "restarts": kills,
         "dropped": dropped, "worst_over_ms": found.worst_over.as_secs_f64() * 1e3, "lag_ms": lag.as_secs_f64() * 1e3});
     println!("{summary}");
-    match (broken == 0, judged) {
-        (true, _) => ExitCode::SUCCESS,
-        (false, true) => ExitCode::FAILURE,
-        (false, false) => ExitCode::from(NOT_JUDGED),
-    }
+    stand::verdict(broken == 0, judged)
 }
--- a/crates/lab/src/comeback.rs
+++ b/crates/lab/src/comeback.rs
@@ -3,6 +3,7 @@
 
 use crate::fleet::judge::{self, Recovery};
 use crate::fleet::{self, Fault, Played, Scene, Script, Trouble, plot};
+use crate::stand;
 use clap::ValueEnum;
 use serde_json::{Value, json};
 use std::path::PathBuf;
@@ -11,7 +12,6 @@
 
 /// A lag of the machine's own beyond which a figure is not held against the program.
 const TOO_BUSY: Duration = Duration::from_millis(60);
-const NOT_JUDGED: u8 = 3;
 /// The origin's need on a quiet day, in places for work, for each GET a second: measured on the scene itself.
 const NEEDS: f64 = 8.2 / 360.0;
 /// What a source may be asked for in half a second over what it bears, at the return and later, where it has half as
@@ -110,12 +110,7 @@
 }
 
 pub fn run(plan: &Plan) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let held = runtime.map_err(|e| e.to_string()).and_then(|runtime| runtime.block_on(prove(plan)));
-    held.unwrap_or_else(|fault| {
-        eprintln!("the proof can't be run: {fault}");
-        ExitCode::FAILURE
-    })
+    stand::run(prove(plan))
 }
 
 fn scene(plan: &Plan, spare: u32) -> Scene {
@@ -321,9 +316,5 @@
         "broken": broken, "dispatchers": scene(plan, plan.spare).dispatchers, "runs": tolds,
         "lag_ms": lag.as_millis() as u64});
     println!("{summary}");
-    Ok(match (broken == 0, judged) {
-        (true, _) => ExitCode::SUCCESS,
-        (false, true) => ExitCode::FAILURE,
-        (false, false) => ExitCode::from(NOT_JUDGED),
-    })
+    Ok(stand::verdict(broken == 0, judged))
 }
--- a/crates/lab/src/fleet/front.rs
+++ b/crates/lab/src/fleet/front.rs
@@ -94,8 +94,8 @@
     ledger: Arc<Ledger>,
     got: Mutex<Vec<Got>>,
     pub said_current: AtomicU64,
-    /// Times to come back as they were told, with when.
-    backs: Mutex<Vec<(Instant, Duration)>>,
+    /// Times to come back as they were told.
+    backs: Mutex<Vec<Duration>>,
 }
 
 impl Front {
@@ -155,7 +155,7 @@
         self.got.lock().expect("no holder panics").clone()
     }
 
-    pub fn backs(&self) -> Vec<(Instant, Duration)> {
+    pub fn backs(&self) -> Vec<Duration> {
         self.backs.lock().expect("no holder panics").clone()
     }
 
@@ -217,7 +217,7 @@
                         })
                     });
                     if let Some(back) = back {
-                        self.backs.lock().expect("no holder panics").push((Instant::now(), back));
+                        self.backs.lock().expect("no holder panics").push(back);
                         pause = back;
                     }
                     if tries >= TRIES {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 use crate::stand::ledger::{Ledger, Named, unix_ms};
 use crate::stand::net::{Net, Party, Way};
 use crate::stand::process::{self, Dispatcher, Told};
-use crate::xds::{line, service};
+use crate::stand::{line, watch};
 use front::{Due, Front, Got};
 use myrtlegauge::interface::mark;
 use myrtlegauge::reading::{Share, Tier, key};
@@ -150,7 +150,8 @@
     pub breaks: Vec<String>,
     pub effects: u64,
     pub caches_fell: u32,
-    pub backs: Vec<(Duration, Duration)>,
+    /// Times to come back that were told with sheds.
+    pub backs: Vec<Duration>,
     pub logs: Vec<String>,
     pub lag: Duration,
     /// When caches lost what they held.
@@ -168,7 +169,7 @@
 
     /// How far apart the times are to which clients were told to come back after a shed: between the quarters.
     pub fn spread_of_backs(&self) -> Duration {
-        let mut backs: Vec<Duration> = self.backs.iter().map(|(_, back)| *back).collect();
+        let mut backs = self.backs.clone();
         backs.sort_unstable();
         let at = |part: usize| backs.get(backs.len() * part / 4).copied().unwrap_or_default();
         at(3).saturating_sub(at(1))
@@ -177,16 +178,15 @@
     /// When each life that got that far stood at full service by its own word, ms since its start.
     pub fn own_records(&self) -> Vec<i64> {
         let lines = self.logs.iter().flat_map(|log| log.lines());
-        let full = lines.filter(|line| line.contains("return step=full") || line.contains("step=full"));
+        let full = lines.filter(|line| line.contains("step=full"));
         let field = |line: &str| line.split("full_ms=").nth(1)?.split(' ').next()?.parse().ok();
         full.filter_map(field).collect()
     }
 
     /// What an informed policy would have lost from the fault on.
     pub fn bound(&self, scene: &Scene, script: &Script) -> u32 {
-        let span = |at: &Duration, long: &Duration| (*at, *at + *long);
         let dead = script.iter().filter_map(|(at, trouble)| match trouble {
-            Trouble::OriginDead { long } => Some(span(at, long)),
+            Trouble::OriginDead { long } => Some((*at, *at + *long)),
             _ => None,
         });
         let slowed = script.iter().filter_map(|(at, trouble)| match trouble {
@@ -195,18 +195,14 @@
         });
         let fresh = Duration::from_millis(hosts::FRESH_MS as u64);
         // Copies of all ages, as at the start of the run.
-        let spread = |(object, n): (u64, f64)| (object, fresh.mul_f64((n * 0.618_034).fract()));
+        let spread = |object: u64| (object, fresh.mul_f64((object as f64 * 0.618_034).fract()));
         let known = bound::Known {
             slots: scene.origin_slots,
             work: ORIGIN_WORK,
             around: CACHE_WORK,
             fresh,
             caches: scene.caches,
-            held: (0..PHOTOS)
-                .chain((0..VIDEOS).map(|n| 1 << 32 | n))
-                .map(|n| (n, n as f64))
-                .map(spread)
-                .collect(),
+            held: objects().map(spread).collect(),
             emptied: self.emptied.clone(),
             dead: dead.collect(),
             slowed: slowed.collect(),
@@ -217,6 +213,11 @@
     }
 }
 
+/// All objects that are asked for and kept.
+fn objects() -> impl Iterator<Item = u64> {
+    (0..PHOTOS).chain((0..VIDEOS).map(|video| 1 << 32 | video))
+}
+
 /// The GETs of a run, by its seed.
 pub fn schedule(scene: &Scene) -> Vec<Due> {
     let mut chance = fastrand::Rng::with_seed(scene.seed.wrapping_mul(0x51_7c_c1_b7));
@@ -238,23 +239,17 @@
     dues
 }
 
-fn operator_file(log: &str, dispatchers: usize) -> String {
-    service::operator_file("127.0.0.1:1", log, false, 250)
-        .replace("(transfer-pace 10MB/s)", &format!("(transfer-pace 10MB/s) (instances {dispatchers})"))
-}
-
 /// The settings of the fleet: as the platform's, fills neither joined nor called off, writes straight to the origin.
 fn settings(scene: &Scene, log: &str) -> Result<serde_json::Value, String> {
-    let mut settings = process::settings(&operator_file(log, scene.dispatchers))?;
+    let mut settings = process::settings(&process::operator_file("127.0.0.1:1", log, false, 250))?;
     settings["domain"]["shares_fills"] = json!(false);
     settings["domain"]["pass_through_ok"] = json!(true);
     settings["limits"]["cancel"] = json!(false);
-    let zones = settings["zones"].as_array().map_or(0, Vec::len);
-    let my_zone = settings["my_zone"].as_u64().unwrap_or(0) as usize;
     let told = if scene.fault == Some(Fault::ToldAlone) { 1 } else { scene.dispatchers };
     settings["balancers"] = json!(told);
-    let counts: Vec<usize> = (0..zones).map(|zone| if zone == my_zone { told } else { 0 }).collect();
-    settings["domain"]["count_by_zone"] = json!(counts);
+    // An operator file counts one here and none elsewhere.
+    let counts = settings["domain"]["count_by_zone"].as_array_mut().into_iter().flatten();
+    counts.filter(|count| **count != json!(0)).for_each(|count| *count = json!(told));
     Ok(settings)
 }
 
@@ -312,23 +307,23 @@
 
     fn restart_caches(&self, which: &[usize]) {
         let at = self.began.elapsed();
-        let lines = which.iter().map(|&cache| {
-            let host = &self.hosts[cache];
-            host.restart();
+        for &cache in which {
+            self.hosts[cache].restart();
             self.emptied.lock().expect("no holder panics").push((at, cache));
-            line(host, "active", host.since_ms.load(Ordering::Relaxed))
-        });
-        let lines: Vec<String> = lines.collect();
-        self.log.list(&lines, false, Tells::List);
+        }
+        self.log.list(&self.lines(which.iter().map(|&cache| &self.hosts[cache])), false, Tells::List);
+    }
+
+    /// All hosts' lines of the list, or those of some.
+    fn lines<'a>(&self, hosts: impl IntoIterator<Item = &'a Arc<Host>>) -> Vec<String> {
+        let line = |host: &Arc<Host>| line(host, "active", host.since_ms.load(Ordering::Relaxed));
+        hosts.into_iter().map(line).collect()
     }
 
     /// The ways between some dispatchers and all hosts are bad for a while: from the hosts, and to them.
     async fn badly(&self, share: usize, long: Duration, from: &[Way], to: &[Way]) {
         let which = self.some_dispatchers(share);
-        let pairs = || {
-            let hosts = (0..self.hosts.len()).map(Party::Host);
-            hosts.flat_map(|host| which.iter().map(move |&one| (host, Party::Dispatcher(one))))
-        };
+        let pairs = || pairs(0..self.hosts.len(), &which);
         for (host, one) in pairs() {
             from.iter().for_each(|way| self.net.set(host, one, *way));
             to.iter().for_each(|way| self.net.set(one, host, *way));
@@ -368,14 +363,12 @@
             }
             Trouble::Silent { share, long } => {
                 let which = self.some(self.scene.caches, share, 0x51);
-                let pairs = || {
-                    let all = (0..self.scene.dispatchers).map(Party::Dispatcher);
-                    all.flat_map(|one| which.iter().map(move |&cache| (one, Party::Host(cache))))
-                };
-                pairs().for_each(|(one, other)| self.net.set_both(one, other, Way::Cut));
+                let all: Vec<usize> = (0..self.scene.dispatchers).collect();
+                let pairs = || pairs(which.iter().copied(), &all);
+                pairs().for_each(|(host, one)| self.net.set_both(host, one, Way::Cut));
                 tokio::time::sleep(long).await;
                 self.restart_caches(&which);
-                pairs().for_each(|(one, other)| self.net.mend_both(one, other));
+                pairs().for_each(|(host, one)| self.net.mend_both(host, one));
             }
             Trouble::Freeze { share, long } => {
                 let which = self.some_dispatchers(share);
@@ -393,22 +386,10 @@
                 tokio::time::sleep(long).await;
                 all().for_each(|one| self.net.mend_both(one, Party::ChangeLog));
             }
-            Trouble::LogAnew => {
-                let lines: Vec<String> = self
-                    .hosts
-                    .iter()
-                    .map(|host| line(host, "active", host.since_ms.load(Ordering::Relaxed)))
-                    .collect();
-                self.log.begin_anew(&lines);
-            }
+            Trouble::LogAnew => self.log.begin_anew(&self.lines(&self.hosts)),
             Trouble::Purge { groups } => {
-                for group in 0..groups {
-                    self.log.purge(
-                        Named::Group(group),
-                        unix_ms(),
-                        self.scene.fault != Some(Fault::PurgesUntold),
-                    );
-                }
+                let told = self.scene.fault != Some(Fault::PurgesUntold);
+                (0..groups).for_each(|group| self.log.purge(Named::Group(group), unix_ms(), told));
             }
             Trouble::OriginSlow { times, long } => {
                 origin.slow(times * 100);
@@ -431,6 +412,11 @@
     }
 }
 
+/// Each of some hosts with each of some dispatchers.
+fn pairs(hosts: impl Iterator<Item = usize>, dispatchers: &[usize]) -> impl Iterator<Item = (Party, Party)> {
+    hosts.flat_map(|host| dispatchers.iter().map(move |&one| (Party::Host(host), Party::Dispatcher(one))))
+}
+
 /// The run begins as in the middle of a day: each cache holds what the ring names it for, parents too, and copies are
 /// of all ages.
 fn warm_up(hosts: &[Arc<Host>]) {
@@ -448,8 +434,7 @@
         };
         let ring = Tier::lay(tier.iter().enumerate().map(share).collect());
         let mut copies = vec![BTreeMap::new(); tier.len()];
-        let objects = (0..PHOTOS).chain((0..VIDEOS).map(|object| 1 << 32 | object));
-        for object in objects {
+        for object in objects() {
             if let Some(share) = ring.takers(key(object, 0)).next() {
                 copies[share.host].insert(object, now - chance.f64() * hosts::FRESH_MS);
             }
@@ -565,7 +550,7 @@
         began,
     });
     let lag = Arc::new(AtomicU64::new(0));
-    let watch = tokio::spawn(crate::xds::watch(Arc::clone(&lag)));
+    let watch = tokio::spawn(watch(Arc::clone(&lag)));
     let mut happening = Vec::new();
     for &(at, trouble) in script {
         let stage = Arc::clone(&stage);
@@ -626,7 +611,7 @@
         breaks,
         effects: ledger.counted()[3],
         caches_fell: hosts.iter().map(|host| host.fell.load(Ordering::Relaxed)).sum(),
-        backs: front.backs().iter().map(|(at, back)| (at.saturating_duration_since(began), *back)).collect(),
+        backs: front.backs(),
         logs: logged,
         lag: Duration::from_micros(lag.load(Ordering::Relaxed)),
         emptied,
--- a/crates/lab/src/stand/changelog.rs
+++ b/crates/lab/src/stand/changelog.rs
@@ -1,6 +1,7 @@
 //! A stand-in change log: numbered events, a long poll over HTTP/1.1, and the faults that one can have.
 
 use super::ledger::{Ledger, Named};
+use super::listener;
 use super::net::{Net, Party, Passed};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -53,10 +54,9 @@
     }
 
     pub fn on(ledger: Arc<Ledger>, net: Arc<Net>) -> std::io::Result<Self> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
+        let (listener, address) = listener()?;
         Ok(Self {
-            address: listener.local_addr()?,
+            address,
             views: Mutex::new(vec![View { who: Party::Front, listener, renamed: Vec::new() }]),
             net,
             events: Mutex::default(),
@@ -120,19 +120,15 @@
 
     /// An address of its own for one who polls, and what that one is told of hosts' addresses.
     pub fn listen_for(&self, who: Party, hosts: &[(SocketAddr, SocketAddr)]) -> std::io::Result<SocketAddr> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let renamed = hosts.iter().map(|(listed, told)| (format!("\"{listed}\""), format!("\"{told}\"")));
-        let view = View { who, listener, renamed: renamed.collect() };
+        let (listener, address) = listener()?;
+        let view = View { who, listener, renamed: renames(hosts) };
         self.views.lock().expect("no holder panics").push(view);
         Ok(address)
     }
 
     /// All events so far as a start is told them, in the words of one who polls.
     pub fn known(&self, hosts: &[(SocketAddr, SocketAddr)]) -> serde_json::Value {
-        let renamed: Vec<_> = hosts.iter().map(|(a, b)| (format!("\"{a}\""), format!("\"{b}\""))).collect();
-        let told = rename(self.since(0).0, &renamed);
+        let told = rename(self.since(0).0, &renames(hosts));
         serde_json::from_str(&told).unwrap_or_default()
     }
 
@@ -235,6 +231,11 @@
     }
 }
 
+/// Hosts' addresses as they are listed and as one who polls is told them, in quotes.
+fn renames(hosts: &[(SocketAddr, SocketAddr)]) -> Vec<(String, String)> {
+    hosts.iter().map(|(listed, told)| (format!("\"{listed}\""), format!("\"{told}\""))).collect()
+}
+
 fn rename(body: String, renamed: &[(String, String)]) -> String {
     renamed.iter().fold(body, |body, (listed, told)| body.replace(listed, told))
 }
--- a/crates/lab/src/stand/hosts.rs
+++ b/crates/lab/src/stand/hosts.rs
@@ -4,6 +4,7 @@
 //! is gone runs on.
 
 use super::ledger::{Ledger, unix_ms};
+use super::listener;
 use super::net::{Net, Party, Passed};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -154,12 +155,11 @@
     }
 
     pub fn bound(index: usize, kind: &'static str, bounds: Bounds, net: Arc<Net>) -> std::io::Result<Self> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
+        let (listener, address) = listener()?;
         Ok(Self {
             index,
             name: format!("{kind}-{index}"),
-            address: listener.local_addr()?,
+            address,
             kind,
             since_ms: AtomicU64::new(0),
             by_object: false,
@@ -185,9 +185,7 @@
 
     /// An address of its own for each who asks, so that a link is known by where it ends.
     pub fn listen_for(&self, who: Party) -> std::io::Result<SocketAddr> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
+        let (listener, address) = listener()?;
         self.listeners.lock().expect("no holder panics").push((who, listener));
         Ok(address)
     }
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -1,5 +1,5 @@
 //! The stand-ins of all proof runs: hosts with what really binds them, the change log, a client of the dispatcher, the
-//! dispatcher as a process, the links between any two of them, and the ledger that judges.
+//! programs as processes, the links between any two of them, and the ledger that judges; and how a proof is run and ends.
 
 pub mod asker;
 pub mod changelog;
@@ -7,3 +7,61 @@
 pub mod ledger;
 pub mod net;
 pub mod process;
+
+use hosts::Host;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Exit code where the machine was too busy to judge.
+const NOT_JUDGED: u8 = 3;
+
+/// Runs a proof to its end.
+pub fn run(prove: impl Future<Output = Result<ExitCode, String>>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let held = runtime.map_err(|e| e.to_string()).and_then(|runtime| runtime.block_on(prove));
+    held.unwrap_or_else(|fault| {
+        eprintln!("the proof can't be run: {fault}");
+        ExitCode::FAILURE
+    })
+}
+
+/// How a proof ends that held or did not, on a machine that could be judged on or not.
+pub fn verdict(held: bool, judged: bool) -> ExitCode {
+    match (held, judged) {
+        (true, _) => ExitCode::SUCCESS,
+        (false, true) => ExitCode::FAILURE,
+        (false, false) => ExitCode::from(NOT_JUDGED),
+    }
+}
+
+/// A listener of a stand-in, at a port of the system's choosing.
+pub fn listener() -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// A host's line of the list.
+pub fn line(host: &Host, status: &str, since_ms: u64) -> String {
+    let (kind, zone) = match host.kind {
+        "cache" => ("standard", "edge"),
+        kind => (kind, "hub"),
+    };
+    json!({"name": host.name, "address": host.address.to_string(), "zone": zone, "type": kind, "group": 0,
+        "status": status, "weight": 4.0, "since_ms": since_ms})
+    .to_string()
+}
+
+/// How late this machine wakes what sleeps.
+pub async fn watch(lag: Arc<AtomicU64>) {
+    loop {
+        let due = Instant::now() + Duration::from_millis(5);
+        tokio::time::sleep_until(due.into()).await;
+        lag.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
+    }
+}
--- a/crates/lab/src/stand/process.rs
+++ b/crates/lab/src/stand/process.rs
@@ -1,6 +1,5 @@
 //! The dispatcher as a process of its own: started, asked to end, killed, frozen and woken.
 
-use super::super::xds::service::{self, Used};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::File;
@@ -20,7 +19,7 @@
     child: Option<Child>,
     verbose: bool,
     /// Times that it was started.
-    pub lives: u32,
+    lives: u32,
     seed: u64,
     config: Value,
 }
@@ -53,6 +52,25 @@
     child.map_err(|e| format!("the dispatcher does not start: {e}"))
 }
 
+/// What the programs of a proof run are told.
+pub fn operator_file(listen: &str, log: &str, verbose: bool, drain_grace_ms: u64) -> String {
+    format!(
+        r#"
+(log (level {}))
+(control (name "lab") (listen "{listen}") (change-log "{log}") (drain-grace {drain_grace_ms}ms) (purge-grace 1s) (clock-error 5ms)
+  (reports-every 250ms) (most-proxies 2000))
+(footprint (zone "hub") (zone "edge") (here "edge") (transfer-pace 10MB/s)
+  (cache-start (share 22%) (warm-within 3s)) (parent-start (share 8%) (warm-within 3s)) (purged-within 6s))
+(delivery-service "assembly-video" (objective 500ms) (timeout 5s))
+(delivery-service "product-photo" (objective 400ms) (timeout 5s) (fresh 5s) (grace 30s))
+(delivery-service "delivery-confirm" (objective 600ms) (timeout 5s) (effect non-idempotent) (passed-on yes))
+(delivery-service "order-note" (objective 600ms) (timeout 5s) (effect tokened) (token-group zone) (token-window 1500ms)
+  (passed-on yes))
+"#,
+        if verbose { "info" } else { "error" }
+    )
+}
+
 /// The settings of an operator file, with connections as the platform has them.
 pub fn settings(text: &str) -> Result<Value, String> {
     let told = myrtlegauge_operator::read(text).map_err(|faults| format!("{faults:?}"))?;
@@ -142,7 +160,7 @@
     }
 
     pub fn used(&self) -> Used {
-        service::used(self.child.as_ref().map_or(0, Child::id))
+        used(self.child.as_ref().map_or(0, Child::id))
     }
 
     /// Ends it, asked to or at once, and starts it again after a pause.
@@ -165,6 +183,24 @@
     }
 }
 
+/// What the system says of the process.
+pub struct Used {
+    pub cpu_s: f64,
+    pub memory_kb: u64,
+}
+
+/// What the system says of a process; nothing of one that is not there.
+pub fn used(id: u32) -> Used {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let ticks = stat.rsplit(')').next().unwrap_or_default().split_whitespace().skip(11).take(2);
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    Used {
+        cpu_s: ticks.filter_map(|n| n.parse::<f64>().ok()).sum::<f64>() / 100.0,
+        memory_kb: memory.and_then(|m| m.split_whitespace().next()?.parse().ok()).unwrap_or(0),
+    }
+}
+
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         self.kill();
--- a/crates/lab/src/xds/mod.rs
+++ b/crates/lab/src/xds/mod.rs
@@ -6,11 +6,11 @@
 mod rogues;
 pub mod service;
 
-use crate::stand::asker;
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::hosts::Host;
 use crate::stand::ledger::{Ledger, Named, Percentiles, unix_ms};
 use crate::stand::process::Dispatcher;
+use crate::stand::{self, asker, line, process, watch};
 use link::Link;
 use myrtlegauge_control::exchange::Form;
 use proxy::{Fault, Proxy};
@@ -25,9 +25,6 @@
 const OBJECTS: u64 = 2000;
 /// A lag of the machine's own beyond which a broken time is not held against the program.
 const TOO_BUSY: Duration = Duration::from_millis(60);
-/// Exit code where the machine was too busy to judge.
-const NOT_JUDGED: u8 = 3;
-
 /// What is left out, so that the proof is seen to fail.
 #[derive(Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
 pub enum Without {
@@ -89,18 +86,7 @@
 }
 
 pub fn run(plan: &Plan) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let held = match runtime {
-        Ok(runtime) => runtime.block_on(prove(plan)),
-        Err(e) => Err(e.to_string()),
-    };
-    match held {
-        Ok(code) => code,
-        Err(fault) => {
-            eprintln!("the proof can't be run: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+    stand::run(prove(plan))
 }
 
 /// What a proof run works with.
@@ -128,16 +114,6 @@
     }
 }
 
-pub fn line(host: &Host, status: &str, since_ms: u64) -> String {
-    let (kind, zone) = match host.kind {
-        "cache" => ("standard", "edge"),
-        kind => (kind, "hub"),
-    };
-    json!({"name": host.name, "address": host.address.to_string(), "zone": zone, "type": kind, "group": 0,
-        "status": status, "weight": 4.0, "since_ms": since_ms})
-    .to_string()
-}
-
 async fn prove(plan: &Plan) -> Result<ExitCode, String> {
     let (proxies, caches, seconds) =
         if plan.quick { (12, 10, 8) } else { (plan.proxies, plan.caches, plan.seconds) };
@@ -266,7 +242,7 @@
     clients: usize,
     seconds: u64,
 ) -> Result<ExitCode, String> {
-    let text = service::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
+    let text = process::operator_file("127.0.0.1:1", &log.address.to_string(), false, 250);
     let dispatcher = Dispatcher::start(&text, log.address, plan.verbose)?;
     asker::ready(dispatcher.address, &hosts).await?;
     let stage = Stage {
@@ -358,15 +334,6 @@
     }
 }
 
-/// How late this machine wakes what sleeps.
-pub async fn watch(lag: Arc<AtomicU64>) {
-    loop {
-        let due = Instant::now() + Duration::from_millis(5);
-        tokio::time::sleep_until(due.into()).await;
-        lag.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
-    }
-}
-
 /// Purges, and hosts that drain, go, and come back cold.
 async fn script(stage: Arc<Stage>, seed: u64) {
     let mut chance = fastrand::Rng::with_seed(seed.wrapping_add(77));
@@ -534,9 +501,5 @@
         "lag_ms": ms(measured.lag),
     });
     println!("{summary}");
-    match (broken == 0, judged) {
-        (true, _) => ExitCode::SUCCESS,
-        (false, true) => ExitCode::FAILURE,
-        (false, false) => ExitCode::from(NOT_JUDGED),
-    }
+    stand::verdict(broken == 0, judged)
 }
--- a/crates/lab/src/xds/service.rs
+++ b/crates/lab/src/xds/service.rs
@@ -1,5 +1,6 @@
 //! The control service as a process of its own, started and killed by the proof run.
 
+use crate::stand::process::{Used, operator_file, used};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -13,31 +14,6 @@
     verbose: bool,
 }
 
-/// What the system says of the process.
-pub struct Used {
-    pub cpu_s: f64,
-    pub memory_kb: u64,
-}
-
-/// What the control service of a proof run is told.
-pub fn operator_file(listen: &str, log: &str, verbose: bool, drain_grace_ms: u64) -> String {
-    format!(
-        r#"
-(log (level {}))
-(control (name "lab") (listen "{listen}") (change-log "{log}") (drain-grace {drain_grace_ms}ms) (purge-grace 1s) (clock-error 5ms)
-  (reports-every 250ms) (most-proxies 2000))
-(footprint (zone "hub") (zone "edge") (here "edge") (transfer-pace 10MB/s)
-  (cache-start (share 22%) (warm-within 3s)) (parent-start (share 8%) (warm-within 3s)) (purged-within 6s))
-(delivery-service "assembly-video" (objective 500ms) (timeout 5s))
-(delivery-service "product-photo" (objective 400ms) (timeout 5s) (fresh 5s) (grace 30s))
-(delivery-service "delivery-confirm" (objective 600ms) (timeout 5s) (effect non-idempotent) (passed-on yes))
-(delivery-service "order-note" (objective 600ms) (timeout 5s) (effect tokened) (token-group zone) (token-window 1500ms)
-  (passed-on yes))
-"#,
-        if verbose { "info" } else { "error" }
-    )
-}
-
 impl Service {
     pub fn new(log: SocketAddr, verbose: bool, drain_grace_ms: u64) -> Result<Self, String> {
         let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
@@ -85,18 +61,6 @@
     }
 }
 
-/// What the system says of a process; nothing of one that is not there.
-pub fn used(id: u32) -> Used {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let ticks = stat.rsplit(')').next().unwrap_or_default().split_whitespace().skip(11).take(2);
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    Used {
-        cpu_s: ticks.filter_map(|n| n.parse::<f64>().ok()).sum::<f64>() / 100.0,
-        memory_kb: memory.and_then(|m| m.split_whitespace().next()?.parse().ok()).unwrap_or(0),
-    }
-}
-
 impl Drop for Service {
     fn drop(&mut self) {
         self.kill();
