--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -1,6 +1,7 @@
 //! Plays a world: events in order of time, then as they were put there, so that the same seed gives the same run.
 
 use crate::oracle::Oracle;
+use crate::recovery::{BIN, Bin, Recovery, recovery};
 use crate::world::{Brain, Trouble, World};
 use hdrhistogram::Histogram;
 use myrtlegauge::decide::Router;
@@ -16,6 +17,8 @@
 const PURGED_WITHIN: Duration = Duration::from_millis(5900);
 /// A forward whose client waits longer than any other end is told after this.
 const PART: u32 = 0;
+/// Steps of half a second by which the origin's load is looked at.
+const FINE: u32 = 5;
 /// Tilt of what is asked: the power of a uniform draw that names the object; 3 gives a tenth of them half of the GETs.
 const TILT: i32 = 3;
 
@@ -122,6 +125,8 @@
     born: Duration,
     filling: bool,
     told: bool,
+    /// Of its dispatcher, when it was sent.
+    life: u32,
 }
 
 /// A client's GET.
@@ -172,6 +177,8 @@
 }
 
 struct Dispatcher {
+    up: bool,
+    life: u32,
     router: Option<Router>,
     desk: Desk,
     /// GETs by their places, and what is out for each.
@@ -205,6 +212,10 @@
     pub latency: Histogram<u64>,
     pub broken: BTreeMap<&'static str, u64>,
     pub first_breaks: Vec<String>,
+    /// From the first fault on.
+    pub recovery: Recovery,
+    /// The most that the origin was asked for in half a second from then on, over what it bears in one.
+    pub origin_peak: f64,
 }
 
 impl Figures {
@@ -236,6 +247,12 @@
     hurt: Vec<Vec<usize>>,
     oracle: Oracle,
     figures: Figures,
+    begin: Duration,
+    /// GETs by half seconds, and fills that came to the origin by steps of it.
+    bins: Vec<Bin>,
+    origin_asked: Vec<u32>,
+    /// When the informed bound sent fills that are still on their way to the origin.
+    on_the_way: VecDeque<Duration>,
 }
 
 /// Plays a world by a seed.
@@ -246,7 +263,14 @@
     world.check()?;
     let mut engine = Engine::new(world, seed)?;
     engine.run();
-    let Engine { oracle, mut figures, .. } = engine;
+    let Engine { oracle, mut figures, bins, origin_asked, .. } = engine;
+    if let Some(first) = world.faults.iter().map(|fault| fault.at).min() {
+        figures.recovery = recovery(&bins, first);
+        let after = &origin_asked[(first.div_duration_f64(BIN / FINE) as usize).min(origin_asked.len())..];
+        let most = after.windows(FINE as usize).map(|w| w.iter().sum::<u32>()).max().unwrap_or(0);
+        let bears = world.origin_slots as f64 * BIN.div_duration_f64(world.origin_wait);
+        figures.origin_peak = f64::from(most) / bears;
+    }
     (figures.broken, figures.first_breaks) = (oracle.broken, oracle.first);
     Ok(figures)
 }
@@ -269,10 +293,12 @@
             for _ in 0..world.dispatchers {
                 let router = match world.brain {
                     Brain::Module => Some(Router::new(&facts, chance.u64(..))?),
-                    Brain::Hashing | Brain::Random => None,
+                    Brain::Hashing | Brain::Random | Brain::Informed => None,
                 };
                 let desk = Desk::default();
                 dispatchers.push(Dispatcher {
+                    up: true,
+                    life: 0,
                     router,
                     desk,
                     gets: Vec::new(),
@@ -318,11 +344,18 @@
                 latency,
                 broken: BTreeMap::new(),
                 first_breaks: Vec::new(),
+                recovery: Recovery::default(),
+                origin_peak: 0.0,
             },
+            begin: Duration::ZERO,
+            bins: vec![Bin::default(); world.long.div_duration_f64(BIN).ceil() as usize],
+            origin_asked: vec![0; world.long.div_duration_f64(BIN / FINE).ceil() as usize],
+            on_the_way: VecDeque::new(),
         };
         // Time begins late enough for a start or a purge of before to be a span.
         engine.now = Duration::from_secs(3600);
         let begin = engine.now;
+        engine.begin = begin;
         engine.tell_list(None);
         for location in 0..world.locations {
             engine.put(begin, Happens::Asks(location));
@@ -377,6 +410,10 @@
         self.oracle.close(open + gone, self.now);
     }
 
+    fn bin(&mut self, at: Duration) -> Option<&mut Bin> {
+        self.bins.get_mut(at.saturating_sub(self.begin).div_duration_f64(BIN) as usize)
+    }
+
     fn entry(&self, host: usize) -> Entry {
         let Host { standing, started, .. } = self.hosts[host];
         let kind = if host == self.world.origin() { 2 } else { usize::from(self.world.is_parent(host)) };
@@ -435,8 +472,20 @@
         };
         // An object's size is its own, whoever asks.
         let size = kind.size_kb * (0.25 + 1.5 * (key(object, 7) >> 11) as f64 / (1u64 << 53) as f64);
-        let router = location * self.world.dispatchers + self.chance.usize(0..self.world.dispatchers);
+        let first = location * self.world.dispatchers;
+        let live: usize =
+            self.dispatchers[first..first + self.world.dispatchers].iter().filter(|d| d.up).count();
+        let drawn = self.chance.usize(0..live.max(1));
+        let router = (first..first + self.world.dispatchers).filter(|&r| self.dispatchers[r].up).nth(drawn);
         self.figures.taken += 1;
+        if let Some(bin) = self.bin(self.now) {
+            bin.due += 1;
+        }
+        // Nobody takes it: its client's connection is refused.
+        let Some(router) = router else {
+            self.figures.errored += 1;
+            return;
+        };
         self.oracle.taken += 1;
         self.put(self.now + kind.timeout, Happens::GivesUp(id));
         let group = object % GROUPS;
@@ -480,11 +529,15 @@
         let (object, service) = (asked.object, asked.service);
         let kind = &self.world.services[service];
         let key = key(object, PART);
-        let random = self.world.brain == Brain::Random;
+        let (random, informed) =
+            (self.world.brain == Brain::Random, self.world.brain == Brain::Informed);
         let (first, second) =
             (self.chance.usize(0..self.world.caches), self.chance.usize(0..self.world.parents));
         let first_parent = self.world.locations * self.world.caches;
-        let listed = |host: usize| self.hosts[host].standing == Standing::On;
+        let listed = |host: usize| {
+            let host = &self.hosts[host];
+            host.standing == Standing::On && !(informed && (!host.up || host.silent))
+        };
         let by_ring = |ring: &Tier| ring.takers(key).map(|share| share.host).find(|&host| listed(host));
         let cache = match random {
             true => Some(location * self.world.caches + first).filter(|&host| listed(host)),
@@ -497,13 +550,33 @@
         let Some(host) = cache else { return self.answer(id, false, true) };
         let source =
             if kind.non_idempotent { self.world.origin() } else { parent.unwrap_or(self.world.origin()) };
-        let purged = Duration::ZERO;
+        let mut accepted_age = Duration::ZERO;
+        if informed && !kind.non_idempotent {
+            let since = self.purged_since(object).max(self.purged.get(&(object % GROUPS)).copied().unwrap_or_default());
+            let fresh = if kind.fresh.is_zero() { Duration::MAX } else { kind.fresh };
+            let room = self.origin_gives_in_time(kind.objective);
+            let now = self.now;
+            let mut held = |at: usize, oldest: Duration| {
+                let born = self.hosts[at].store.touch(key, 1, since);
+                born.is_some_and(|born| now - born <= oldest)
+            };
+            let has = held(host, fresh) || source != self.world.origin() && held(source, fresh);
+            if !has && !room {
+                accepted_age = fresh.saturating_add(kind.grace);
+                if !held(host, accepted_age) {
+                    return self.answer(id, false, false);
+                }
+            }
+            if !has && room {
+                self.on_the_way.push_back(now);
+            }
+        }
         let forward = Forward {
             host,
             source,
             timeout: kind.timeout,
             keep: 1,
-            accepted_age: purged,
+            accepted_age,
             join: false,
             held_only: false,
             renew: false,
@@ -514,6 +587,16 @@
         self.forward(router, place, forward);
     }
 
+    /// Whether a fill that is sent off now is back in time, behind all that is on its way or waits.
+    fn origin_gives_in_time(&mut self, objective: Duration) -> bool {
+        let World { origin_slots, origin_wait, way, hub_way, .. } = *self.world;
+        while self.on_the_way.pop_front_if(|sent| *sent + way + hub_way < self.now).is_some() {}
+        let before = self.origin_busy + self.origin_queue.len() + self.on_the_way.len();
+        let wait = origin_wait * if self.origin_slow { 10 } else { 1 };
+        let waits = wait.mul_f64((before as f64 / origin_slots as f64).max(1.0) + 0.5);
+        waits + (way + hub_way) * 2 <= objective
+    }
+
     fn forward(&mut self, router: usize, place: Place, to: Forward) {
         let Some(get) = self.dispatchers[router].gets[place] else { return };
         self.count += 1;
@@ -536,6 +619,7 @@
             born: Duration::ZERO,
             filling: false,
             told: false,
+            life: self.dispatchers[router].life,
         };
         self.sendings.insert(serial, sending);
         self.put(self.now + self.world.way, Happens::Comes(serial));
@@ -644,6 +728,10 @@
 
     fn ask_origin(&mut self, serial: Serial) {
         self.figures.origin_fills += 1;
+        let step = (self.now - self.begin).div_duration_f64(BIN / FINE) as usize;
+        if let Some(asked) = self.origin_asked.get_mut(step) {
+            *asked += 1;
+        }
         if let Some(sending) = self.sendings.get_mut(&serial) {
             sending.note = Note::FilledFromOrigin;
         }
@@ -732,6 +820,10 @@
         let Some(sending) = self.sendings.get_mut(&serial).filter(|sending| !sending.told) else { return };
         sending.told = true;
         let (router, place, get, born) = (sending.router, sending.place, sending.get, sending.born);
+        if sending.life != self.dispatchers[router].life {
+            self.sendings.remove(&serial);
+            return;
+        }
         let Some(end) = sending.end else { return };
         let outcome = Outcome {
             hop: sending.hop,
@@ -765,7 +857,7 @@
         if asked.given_up || asked.answered {
             return;
         }
-        if !service.non_idempotent && self.world.brain == Brain::Module {
+        if !service.non_idempotent && matches!(self.world.brain, Brain::Module | Brain::Informed) {
             // Baselines know nothing of purges: they are judged by their figures.
             self.oracle.returned(get, asked.object % GROUPS, born, self.world.purge_grace, self.now);
         }
@@ -773,6 +865,10 @@
         let in_time = took.as_secs_f64() <= service.objective.as_secs_f64() + full;
         self.figures.returned += 1;
         self.figures.in_time += u64::from(in_time);
+        let at = asked.at;
+        if let Some(bin) = self.bin(at) {
+            *(if in_time { &mut bin.in_time } else { &mut bin.late }) += 1;
+        }
         let _ = self.figures.latency.record(took.as_micros() as u64);
         self.answer(get, true, false);
     }
@@ -814,27 +910,82 @@
         self.oracle.answered += 1;
     }
 
+    /// So many of a range, by the seed.
+    fn draw(&mut self, count: usize, from: usize, to: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (from..to).collect();
+        self.chance.shuffle(&mut all);
+        all.truncate(count);
+        all
+    }
+
+    /// So many in a hundred of a range.
+    fn drawn(&mut self, percent: u32, from: usize, to: usize) -> Vec<usize> {
+        self.draw(((to - from) as f64 * f64::from(percent) / 100.0).round() as usize, from, to)
+    }
+
+    /// A dispatcher's process ends. Its clients' connections end; what it had asked for runs on, unheard.
+    fn killed(&mut self, router: usize) {
+        let dead = &mut self.dispatchers[router];
+        (dead.up, dead.router) = (false, None);
+        dead.life += 1;
+        dead.hops.clear();
+        dead.out.clear();
+        for get in std::mem::take(&mut dead.gets).into_iter().flatten() {
+            let Some(asked) = self.gets.get_mut(&get).filter(|asked| !asked.answered) else { continue };
+            // Kept, so that its fill goes on to the end.
+            asked.answered = true;
+            self.figures.errored += 1;
+            self.oracle.answered(get, false, false, self.now);
+        }
+    }
+
+    /// And one begins in its place: it is told the list, and the purges of before with their age.
+    fn begun(&mut self, router: usize) {
+        let seed = self.chance.u64(..);
+        self.dispatchers[router].up = true;
+        if self.world.brain != Brain::Module {
+            return;
+        }
+        // These settings were taken once already, at the start.
+        self.dispatchers[router].router =
+            Router::new(&self.world.facts(router / self.world.dispatchers), seed).ok();
+        let entries: Vec<_> = (0..self.hosts.len()).map(|host| self.entry(host)).collect();
+        self.round(router, |round| round.listed(ListKind::Whole, &entries));
+        for (group, at) in self.purged.clone() {
+            let ago = self.now - at;
+            self.round(router, |round| round.purged(Purged::Group(group), ago));
+        }
+    }
+
     fn begins(&mut self, fault: usize) {
         let world = self.world;
         let first_parent = world.locations * world.caches;
-        let mut draw = |count: usize, from: usize, to: usize| -> Vec<usize> {
-            let mut all: Vec<usize> = (from..to).collect();
-            self.chance.shuffle(&mut all);
-            all.truncate(count);
-            all
-        };
         let what = world.faults[fault].what;
         let hurt = match what {
             Trouble::CachesDie(n)
             | Trouble::CachesSilent(n)
             | Trouble::CachesSlow(n)
-            | Trouble::CachesDrain(n) => draw(n, 0, first_parent),
-            Trouble::ParentsDie(n) => draw(n, first_parent, world.origin()),
+            | Trouble::CachesDrain(n) => self.draw(n, 0, first_parent),
+            Trouble::ParentsDie(n) => self.draw(n, first_parent, world.origin()),
             _ => Vec::new(),
         };
         match what {
             Trouble::OriginSlow => self.origin_slow = true,
             Trouble::Burst(percent) => self.burst = f64::from(percent) / 100.0,
+            Trouble::StoresLost(percent) => {
+                for host in self.drawn(percent, 0, world.origin()) {
+                    self.hosts[host].store = Store::default();
+                }
+            }
+            Trouble::DispatchersDie(percent) => {
+                for location in 0..world.locations {
+                    let first = location * world.dispatchers;
+                    let killed = self.drawn(percent, first, first + world.dispatchers);
+                    killed.iter().for_each(|&router| self.killed(router));
+                    self.hurt[fault].extend(killed);
+                }
+                return;
+            }
             Trouble::PurgeAll => {
                 for group in 0..GROUPS {
                     self.oracle.purged(group, self.now);
@@ -885,6 +1036,9 @@
         match self.world.faults[fault].what {
             Trouble::OriginSlow => self.origin_slow = false,
             Trouble::Burst(_) => self.burst = 1.0,
+            Trouble::DispatchersDie(_) => {
+                std::mem::take(&mut self.hurt[fault]).into_iter().for_each(|router| self.begun(router));
+            }
             _ => {}
         }
         for host in std::mem::take(&mut self.hurt[fault]) {
--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -30,7 +30,7 @@
         field("fault", Kind::Form(&FAULT), Often::Any, "what goes wrong, and when"),
         field(
             "brain",
-            Kind::OneOf(&["module", "hashing", "random"]),
+            Kind::OneOf(&["module", "hashing", "random", "informed"]),
             Often::AtLeastOnce,
             "who decides; all are compared",
         ),
@@ -86,6 +86,8 @@
         field("caches-slow", Kind::Count, Often::Maybe("none"), "they take five times as long"),
         field("caches-drain", Kind::Count, Often::Maybe("none"), "they drain, and are gone at the end"),
         field("parents-die", Kind::Count, Often::Maybe("none"), "so many parents"),
+        field("dispatchers-die", Kind::Share, Often::Maybe("none"), "of each location, all at once"),
+        field("stores-lost", Kind::Share, Often::Maybe("none"), "of caches and parents, which live on"),
         field("origin-slow", Kind::Flag, Often::Maybe("no"), "it takes ten times as long"),
         field("purge-all", Kind::Flag, Often::Maybe("no"), "all groups of objects"),
         field(
@@ -171,6 +173,7 @@
 /// All that one form names happens together.
 fn troubles(fault: &Checked) -> Vec<Fault> {
     let count = |name: &str| fault.count(name).map(|n| n as usize);
+    let percent = |name: &str| fault.number(name).map(|part| (part * 100.0).round() as u32);
     let flag = |name: &str| fault.flag(name).filter(|on| *on).map(|_| ());
     let told = [
         count("caches-die").map(Trouble::CachesDie),
@@ -178,6 +181,8 @@
         count("caches-slow").map(Trouble::CachesSlow),
         count("caches-drain").map(Trouble::CachesDrain),
         count("parents-die").map(Trouble::ParentsDie),
+        percent("dispatchers-die").map(Trouble::DispatchersDie),
+        percent("stores-lost").map(Trouble::StoresLost),
         flag("origin-slow").map(|()| Trouble::OriginSlow),
         flag("purge-all").map(|()| Trouble::PurgeAll),
         fault.number("burst").map(|part| Trouble::Burst(100 + (part * 100.0) as u32)),
@@ -238,7 +243,9 @@
 }
 
 /// The figures that are told of a run, by name, in percent or milliseconds.
-fn figures(of: &Figures) -> [(&'static str, f64); 8] {
+///
+/// Those of the return are from the first fault on; a run that was not full again counts to its end.
+fn figures(of: &Figures) -> [(&'static str, f64); 12] {
     let part = |n: u64| n as f64 * 100.0 / of.taken.max(1) as f64;
     let ms = |part: f64| of.latency.value_at_quantile(part) as f64 / 1e3;
     [
@@ -250,6 +257,10 @@
         ("origin %", part(of.origin_fills)),
         ("p50 ms", ms(0.5)),
         ("p99 ms", ms(0.99)),
+        ("lost", f64::from(of.recovery.lost)),
+        ("full after s", of.recovery.full_after.unwrap_or(of.recovery.seen).as_secs_f64()),
+        ("second falls", f64::from(of.recovery.falls)),
+        ("origin peak", of.origin_peak),
     ]
 }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -28,6 +28,9 @@
     /// Baselines: a cache and a parent by plain consistent hashing, or at random; no health, no bounds, one forward.
     Hashing,
     Random,
+    /// A bound to stand beside: it sees what lives, what is held and how long the origin's queue is, and asks the origin
+    /// only for what comes in time.
+    Informed,
 }
 
 impl Brain {
@@ -36,11 +39,12 @@
             Brain::Module => "module",
             Brain::Hashing => "hashing",
             Brain::Random => "random",
+            Brain::Informed => "informed",
         }
     }
 
     pub fn of(name: &str) -> Option<Self> {
-        [Brain::Module, Brain::Hashing, Brain::Random].into_iter().find(|brain| brain.name() == name)
+        [Brain::Module, Brain::Hashing, Brain::Random, Brain::Informed].into_iter().find(|brain| brain.name() == name)
     }
 }
 
@@ -64,6 +68,11 @@
     /// They drain, and are gone half a second before the end of it.
     CachesDrain(usize),
     ParentsDie(usize),
+    /// So many in a hundred dispatchers of each location are killed; clients move to the others, and what the killed ones
+    /// had asked for runs on. They come back knowing the list and the purges, and nothing else.
+    DispatchersDie(u32),
+    /// So many in a hundred caches and parents lose what they hold.
+    StoresLost(u32),
     /// The origin takes ten times as long.
     OriginSlow,
     /// Every group of objects is purged.
