A fill's wait without a queue is learnt, so that a far origin is not taken for a pressed one

Checked: the fill's way and work alone take 0.33 of the objective there, over the mark of 0.25 up to which the bound rises (pace.rs, EASY): it stood at its first value for good. Ruled out: caches and parents (their bounds were not reached).

Change: Pace learns the least wait of fills that came in time and sets its marks beyond it (EASY_MORE, PRESSED_MORE, BASE_MOST).

--- a/crates/comeback/src/pace.rs
+++ b/crates/comeback/src/pace.rs
@@ -23,6 +23,14 @@
 /// what is added to them, over the count of routers, for the fewer there are the sooner a cut is felt.
 const EASY: (f64, f64) = (0.25, 1.2);
 const PRESSED: (f64, f64) = (0.4, 1.6);
+/// Of the objective that is left beside the way and work of a fill that waits for nobody, the parts that it may wait beyond
+/// them: where a source is far, or works long, the marks above would be passed with no fill in the queue.
+const EASY_MORE: f64 = 0.1;
+const PRESSED_MORE: f64 = 0.25;
+/// The most of its objective that a way and its work are taken to need: what waits longer waits in a queue.
+const BASE_MOST: f64 = 0.5;
+/// Weight of a longer wait in the least one: a way that came to be longer is known after some hundred fills.
+const BASE_RISES: f64 = 0.01;
 /// The bound is cut to this share at least and at most when fills wait for too long, once in the time that a fill takes or
 /// in so many ms.
 const CUT_EVERY: Duration = Duration::from_millis(250);
@@ -62,6 +70,8 @@
     next: Duration,
     /// s; how long a fill takes, lately.
     takes: f64,
+    /// Part of its objective that a fill waits where nothing queues; 0: not seen yet.
+    base: f64,
 }
 
 impl Pace {
@@ -117,8 +127,14 @@
     /// there, from what all routers ask for together; it hurts where a slow cache spoils a source's count.
     pub fn ended(&mut self, out: f64, filled: &Filled, now: Duration) -> bool {
         let waited = filled.waited.unwrap_or(0.0);
-        let mark = |(part, few): (f64, f64)| (part + few / self.sharers).min(1.0);
-        let (easy, pressed) = (mark(EASY), filled.in_time && waited > mark(PRESSED));
+        if let Some(waited) = filled.waited.filter(|_| filled.in_time) {
+            let risen = self.base + BASE_RISES * (waited - self.base);
+            self.base = (if self.base > 0.0 { waited.min(risen) } else { waited }).min(BASE_MOST);
+        }
+        let mark = |(part, few): (f64, f64), more: f64| {
+            (part + few / self.sharers).max(self.base + more * (1.0 - self.base)).min(1.0)
+        };
+        let (easy, pressed) = (mark(EASY, EASY_MORE), filled.in_time && waited > mark(PRESSED, PRESSED_MORE));
         self.bad = self.bad << 1 | u32::from(!filled.in_time);
         self.takes += BLEND * (filled.took.as_secs_f64() - self.takes);
         let many = !filled.in_time && marked(self.bad, FEW) > 1;
