--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -149,6 +149,7 @@
                 size_kb: m.kbytes,
                 viewer_timeout: span(m.ttl_ms),
                 again: false,
+                over: false,
             });
         }
         "Response" => {
--- a/crates/benchlink/src/read.rs
+++ b/crates/benchlink/src/read.rs
@@ -136,6 +136,7 @@
             cell: self.stripe,
             kind: self.generation_hw,
             units: self.units,
+            held_back: 0.0,
         })
     }
 }
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -36,6 +36,46 @@
     }
 }
 
+#[derive(clap::Args)]
+pub struct Asked {
+    /// Where the service listens.
+    #[arg(long, default_value = "127.0.0.1:18000")]
+    pub address: SocketAddr,
+    /// Milliseconds to wait for the answer.
+    #[arg(long, default_value_t = 2000)]
+    pub patience_ms: u64,
+}
+
+#[derive(Subcommand)]
+pub enum Zone {
+    /// Each zone's stage, part, epoch and step, what holds it back, and who says what.
+    Status {
+        #[command(flatten)]
+        asked: Asked,
+        /// Who voted what, too.
+        #[arg(long)]
+        votes: bool,
+    },
+    /// Leave a zone, as far as the others bear its traffic, until it is returned to by hand.
+    Leave {
+        zone: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Keep a zone as it is, whatever is seen of it.
+    Hold {
+        zone: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Take back an order; a zone that was left is returned to, in steps, from now on.
+    Return {
+        zone: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum Command {
     /// Run the control service: the decision module's choices for other proxies, over xDS.
@@ -58,6 +98,21 @@
         #[arg(long, default_value_t = 2000)]
         patience_ms: u64,
     },
+    /// Run a dispatcher that is told in an operator file and follows control services on zones.
+    ///
+    /// SIGTERM ends it, SIGHUP reads where the change log is again, SIGUSR1 logs its counters.
+    Dispatch {
+        /// The operator file.
+        file: PathBuf,
+        /// How log records are written, whatever the file says.
+        #[arg(long)]
+        log_form: Option<LogForm>,
+    },
+    /// Show zones, and leave, hold or return to one, at a running control service.
+    Zone {
+        #[command(subcommand)]
+        order: Zone,
+    },
     /// Play an experiment in the model of the fleets, over several seeds on all cores.
     ///
     /// Without a file the built-in one runs, a Saturday in small. The table has means with their 95% confidence, and says
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,7 @@
 
 mod arguments;
 
-use arguments::{Arguments, Command};
+use arguments::{Arguments, Asked, Command, Zone};
 use clap::{CommandFactory, Parser};
 use myrtlegauge_control::shown;
 use myrtlegauge_model as model;
@@ -26,9 +26,25 @@
             ended(myrtlegauge_control::service::run(file, &told))
         }
         Command::Status { address, patience_ms } => {
-            let status = shown::ask(address, Duration::from_millis(patience_ms));
+            let status = shown::ask(address, None, Duration::from_millis(patience_ms));
             ended(status.map(|status| print!("{}", shown::print(&status))))
         }
+        Command::Dispatch { file, log_form } => {
+            let Ok(told) = read(&file) else { return ExitCode::from(UNUSABLE) };
+            operator::logs::start(log_form.map_or(told.log_form, Into::into), told.log_level);
+            ended(myrtlegauge_follow::run(file, &told))
+        }
+        Command::Zone { order } => {
+            let (asked, order, votes) = match &order {
+                Zone::Status { asked, votes } => (asked, None, *votes),
+                Zone::Leave { zone, asked } => (asked, Some((zone.as_str(), "leave")), false),
+                Zone::Hold { zone, asked } => (asked, Some((zone.as_str(), "hold")), false),
+                Zone::Return { zone, asked } => (asked, Some((zone.as_str(), "return")), false),
+            };
+            let Asked { address, patience_ms } = *asked;
+            let status = shown::ask(address, order, Duration::from_millis(patience_ms));
+            ended(status.map(|status| print!("{}", shown::print_zones(&status, votes))))
+        }
         Command::Experiment { file, seeds, csv, json } => {
             experiment(file.as_deref(), seeds, csv.as_deref(), json)
         }
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -381,8 +381,8 @@
             Lane::Beat => beat(stream, shelf, *lease, now),
             Lane::Ordinary => ordinary(stream, shelf, *lease, now),
         };
-        if message.is_none() && lane == Lane::Beat {
-            // Not due, or not to be vouched for now: it is looked at again well within a lease.
+        if message.is_none() && lane == Lane::Beat && now >= stream.beat_at {
+            // Not to be vouched for now: it is looked at again well within a lease.
             stream.beat_at = stream.beat_at.max(now + lease.every / 4);
         }
         let mut message = message?;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -84,7 +84,9 @@
     services: Vec<Service>,
     parent_kind: Option<usize>,
     origin_kind: usize,
-    here: usize,
+    /// By the footprint's number, what is held back from hosts of a zone; and whether their caches are chosen here.
+    held_back: Vec<f64>,
+    serves: Vec<bool>,
     purged_within: Duration,
     /// Terms as published last, by service.
     terms: Vec<Option<TermsLine>>,
@@ -108,6 +110,11 @@
             })
         });
         let services = services.collect::<Result<Vec<_>, String>>()?;
+        let zones = list(facts, "zones")?.len();
+        let here = number(facts, "my_zone")? as usize;
+        let told = list(facts, "serves").unwrap_or_default();
+        let mut serves: Vec<_> = told.iter().filter_map(|zone| Some(zone.as_u64()? as usize)).collect();
+        serves.push(here);
         let kind =
             |name: &str| number(facts, name).ok().filter(|&kind| kind >= 0.0).map(|kind| kind as usize);
         Ok(Self {
@@ -123,7 +130,8 @@
             services,
             parent_kind: kind("domain.shield_kind"),
             origin_kind: kind("domain.master_kind").ok_or("setting domain.master_kind is missing")?,
-            here: number(facts, "my_zone")? as usize,
+            held_back: vec![0.0; zones],
+            serves: (0..zones).map(|zone| serves.contains(&zone)).collect(),
             purged_within: values::span(facts, "domain.gone_everywhere_ms")?,
             routed: false,
             lags: [false; 3],
@@ -163,6 +171,11 @@
         self.by_address.get(&address).copied().filter(|&host| self.hosts[host].gone_at.is_none())
     }
 
+    /// The host of this name now.
+    pub fn named(&self, name: &str) -> Option<HostIndex> {
+        self.places.known(name).filter(|&host| self.hosts[host].gone_at.is_none())
+    }
+
     pub fn service(&self, name: &str) -> Option<usize> {
         self.services.iter().position(|service| service.name == name)
     }
@@ -218,13 +231,34 @@
             host.life = if again { self.clock.unix_ms(now) } else { began.max(host.life) };
             host.entry = entry;
             host.gone_at = host.gone_at.or(Some(now)).filter(|_| entry.standing == Standing::Gone);
-            entries.push(entry);
+            entries.push(Entry { held_back: self.held_back[entry.zone], ..entry });
         }
         self.told(now, |round| {
             round.listed(if whole { ListKind::Whole } else { ListKind::Changes }, &entries);
         });
     }
 
+    /// Holds back what zones don't take, by the footprint's numbers.
+    pub fn hold_back(&mut self, parts: &[(usize, f64)], now: Duration) {
+        let moved: Vec<_> =
+            parts.iter().filter(|(zone, part)| self.held_back[*zone] != 1.0 - part).copied().collect();
+        if moved.is_empty() {
+            return;
+        }
+        for (zone, part) in moved {
+            self.held_back[zone] = 1.0 - part;
+        }
+        let known = self.hosts.iter().filter(|host| !host.name.is_empty() && host.gone_at.is_none());
+        let entries: Vec<_> =
+            known.map(|host| Entry { held_back: self.held_back[host.entry.zone], ..host.entry }).collect();
+        self.told(now, |round| round.listed(ListKind::Changes, &entries));
+    }
+
+    /// Where a host stands, by the footprint's number.
+    pub fn zone(&self, index: HostIndex) -> usize {
+        self.hosts[index].entry.zone
+    }
+
     fn told(&mut self, now: Duration, say: impl FnOnce(&mut myrtlegauge::decide::Round<'_, Bell>)) {
         self.router.round(now, &mut self.bell, say);
         if let Some(after) = self.bell.rings.take() {
@@ -288,7 +322,7 @@
         } else if entry.kind == self.origin_kind {
             Some(Tier::Origin)
         } else {
-            (entry.zone == self.here).then_some(Tier::Caches)
+            self.serves.get(entry.zone).is_some_and(|serves| *serves).then_some(Tier::Caches)
         }
     }
 
@@ -311,6 +345,9 @@
             // A host that drains, is gone, or is another process at the same address, is urgent.
             let life = |line: Option<&HostLine>| line.map(|line| (line.life, line.draining, line.address));
             let urgent = old.is_some() && life(old) != life(new);
+            // So is one whose zone is left.
+            let held_back = self.held_back.get(host.entry.zone).is_some_and(|held| *held >= 1.0);
+            let urgent = urgent || held_back && old.is_some_and(|line| line.part > 0.0);
             let (at, name) = match (old, new) {
                 (_, Some(line)) | (Some(line), None) => (line.tier as usize, line.resource_name()),
                 (None, None) => continue,
--- a/crates/control/src/grpc.rs
+++ b/crates/control/src/grpc.rs
@@ -61,7 +61,9 @@
         permit: OwnedSemaphorePermit,
     },
     Shown {
-        reply: oneshot::Sender<ClientStatusResponse>,
+        /// An operator's order for a zone.
+        order: Option<(String, String)>,
+        reply: oneshot::Sender<Result<ClientStatusResponse, String>>,
     },
 }
 
@@ -305,28 +307,25 @@
         let front = self.clone();
         let answers = request.into_inner().then(move |asked| {
             let front = front.clone();
-            async move {
-                asked?;
-                front.show().await
-            }
+            async move { front.show(&asked?).await }
         });
         Ok(tonic::Response::new(Box::pin(answers)))
     }
 
     async fn fetch_client_status(
         &self,
-        _: tonic::Request<ClientStatusRequest>,
+        asked: tonic::Request<ClientStatusRequest>,
     ) -> Result<tonic::Response<ClientStatusResponse>, Status> {
-        Ok(tonic::Response::new(self.show().await?))
+        Ok(tonic::Response::new(self.show(asked.get_ref()).await?))
     }
 }
 
 impl Front {
-    async fn show(&self) -> Result<ClientStatusResponse, Status> {
+    async fn show(&self, asked: &ClientStatusRequest) -> Result<ClientStatusResponse, Status> {
         let (reply, shown) = oneshot::channel();
         let gone = || Status::unavailable("the service is ending");
-        self.hears.send(Heard::Shown { reply }).map_err(|_| gone())?;
-        shown.await.map_err(|_| gone())
+        self.hears.send(Heard::Shown { order: crate::shown::ordered(asked), reply }).map_err(|_| gone())?;
+        shown.await.map_err(|_| gone())?.map_err(Status::invalid_argument)
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod service;
 pub mod shelf;
 pub mod shown;
+pub mod zoning;
--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -7,6 +7,7 @@
 use envoy_types::pb::envoy::config::route::v3 as route;
 use envoy_types::pb::google::protobuf::value::Kind as Of;
 use envoy_types::pb::google::protobuf::{Any, Duration as Span, Struct, UInt32Value, Value};
+use myrtlegauge_zones::{Stage, Verdict};
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -241,6 +242,100 @@
     }
 }
 
+/// A zone's verdict as dispatchers are told of it, and as they tell what they hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneLine {
+    pub epoch: u64,
+    pub stage: Stage,
+    pub part: f64,
+    pub sheds: f64,
+    /// When it takes effect.
+    pub from_unix_ms: u64,
+}
+
+const STAGES: [(Stage, &str); 4] = [
+    (Stage::Serving, "serving"),
+    (Stage::Doubted, "doubted"),
+    (Stage::Left, "left"),
+    (Stage::Returning, "returning"),
+];
+
+pub fn zone_name(zone: &str) -> String {
+    format!("zone/{zone}")
+}
+
+pub fn zone_named(name: &str) -> Option<&str> {
+    name.strip_prefix("zone/")
+}
+
+impl ZoneLine {
+    pub fn of(verdict: &Verdict, from_unix_ms: u64) -> Self {
+        let Verdict { epoch, stage, part, sheds, .. } = *verdict;
+        Self { epoch, stage, part, sheds, from_unix_ms }
+    }
+
+    pub fn verdict(&self) -> Verdict {
+        let Self { epoch, stage, part, sheds, .. } = *self;
+        Verdict { epoch, stage, part, sheds, ..Verdict::default() }
+    }
+
+    fn fields(&self) -> Struct {
+        let stage = STAGES.iter().find(|(stage, _)| *stage == self.stage).map_or("serving", |(_, name)| name);
+        fields([
+            ("epoch", number(self.epoch as f64)),
+            ("stage", text(stage.into())),
+            ("part", number(self.part)),
+            ("sheds", number(self.sheds)),
+            ("from_unix_ms", number(self.from_unix_ms as f64)),
+        ])
+    }
+
+    pub fn body(&self, name: &str) -> Vec<u8> {
+        notice(name, self.fields())
+    }
+
+    pub fn read(fields: &Struct) -> Result<Self, &'static str> {
+        let number = |name: &str| told_number(fields, name).ok_or("a zone's verdict lacks a number");
+        let stage = told_text(fields, "stage").ok_or("a zone's verdict lacks its stage")?;
+        let stage = STAGES.iter().find(|(_, name)| *name == stage).ok_or("a zone's stage is not known")?;
+        Ok(Self {
+            epoch: number("epoch")? as u64,
+            stage: stage.0,
+            part: number("part")?.min(1.0),
+            sheds: number("sheds")?.min(1.0),
+            from_unix_ms: number("from_unix_ms")? as u64,
+        })
+    }
+}
+
+/// A host's name beside its load, where it is reached by other addresses than the list tells.
+pub fn host_said(name: &str) -> Struct {
+    fields([("host", text(name.to_owned()))])
+}
+
+pub fn host_told(metadata: &Struct) -> Option<&str> {
+    told_text(metadata, "host")
+}
+
+/// GETs that a dispatcher took since its last report, by its node's metadata.
+pub fn taken(metadata: &Struct) -> u64 {
+    told_number(metadata, "taken").unwrap_or(0.0) as u64
+}
+
+/// What a dispatcher holds of zones and how many GETs it took, as a node's metadata.
+pub fn zones_held<'a>(held: impl Iterator<Item = (&'a str, ZoneLine)>, taken: u64) -> Struct {
+    let fields =
+        held.map(|(zone, line)| (zone_name(zone), Value { kind: Some(Of::StructValue(line.fields())) }));
+    Struct { fields: fields.chain([("taken".to_owned(), number(taken as f64))]).collect() }
+}
+
+pub fn zone_held(metadata: &Struct, zone: &str) -> Option<ZoneLine> {
+    match metadata.fields.get(&zone_name(zone))?.kind.as_ref()? {
+        Of::StructValue(fields) => ZoneLine::read(fields).ok(),
+        _ => None,
+    }
+}
+
 impl TermsLine {
     pub fn body(&self, name: &str) -> Vec<u8> {
         notice(
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -5,12 +5,14 @@
 use crate::grpc::{self, Heard, Out, ROOM, Ticket};
 use crate::lease::Lease;
 use crate::reports::{Fills, HostReport, Reports};
+use crate::zoning::{self, Zoning};
 use crate::{messages, shown};
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, channel};
 use envoy_types::pb::envoy::service::load_stats::v3::LoadStatsRequest;
 use envoy_types::pb::envoy::service::status::v3::ClientStatusResponse;
 use myrtlegauge_operator::OperatorFile;
+use myrtlegauge_operator::file::Control;
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::feed::{Feed, Step};
 use myrtlegauge_wire::protocol::Fault;
@@ -66,6 +68,7 @@
     fleet: Fleet,
     exchange: Exchange,
     reports: Reports,
+    zones: Option<Zoning>,
     feed: Option<Feed<Service>>,
     feed_stirred: bool,
     /// The number and the content of the last event that was taken.
@@ -74,7 +77,7 @@
     accounts: Rc<Accounts>,
     shared: Vec<u8>,
     heard: Vec<Heard>,
-    showing: VecDeque<(oneshot::Sender<ClientStatusResponse>, shown::Showing)>,
+    showing: VecDeque<(oneshot::Sender<Result<ClientStatusResponse, String>>, shown::Showing)>,
     ports: BTreeMap<Ticket, Port>,
     now: Duration,
     look_at: Duration,
@@ -101,8 +104,9 @@
 /// Runs a control service until it is told to end.
 pub fn run(path: PathBuf, file: &OperatorFile) -> Result<(), String> {
     let mut turns = EventLoop::<Service>::try_new().map_err(|e| format!("no event loop: {e}"))?;
-    let listener = TcpListener::bind(file.control.listen)
-        .map_err(|e| format!("can't listen on {}: {e}", file.control.listen))?;
+    let control = file.control.as_ref().ok_or("the file tells of no control service")?;
+    let listener =
+        TcpListener::bind(control.listen).map_err(|e| format!("can't listen on {}: {e}", control.listen))?;
     let address = listener.local_addr().map_err(|e| format!("the listener has no address: {e}"))?;
     let (hears, heard) = channel::channel();
     let into = turns.handle().insert_source(heard, |event, _, service| {
@@ -119,8 +123,8 @@
         _ => service.done = true,
     });
     watched.map_err(|e| format!("signals can't be watched: {e}"))?;
-    let mut service = Service::new(turns.handle(), file)?;
-    grpc::serve(listener, hears, file.control.reports_every)?;
+    let mut service = Service::new(turns.handle(), file, control)?;
+    grpc::serve(listener, hears, control.reports_every)?;
     log::info!(address:%; "{} gives decisions", service.name);
     while !service.done {
         turns.dispatch(service.patience(), &mut service).map_err(|e| format!("the event loop: {e}"))?;
@@ -131,8 +135,7 @@
 }
 
 impl Service {
-    fn new(hub: LoopHandle<'static, Self>, file: &OperatorFile) -> Result<Self, String> {
-        let control = &file.control;
+    fn new(hub: LoopHandle<'static, Self>, file: &OperatorFile, control: &Control) -> Result<Self, String> {
         let clock = Clock::start();
         let now = clock.now();
         let lease = Lease::of(control.drain_grace, control.purge_grace, control.clock_error);
@@ -141,6 +144,7 @@
             fleet: Fleet::new(&file.facts, fastrand::u64(..), clock)?,
             exchange: Exchange::new(lease, control.most_proxies),
             reports: Reports::new(control.reports_every, now),
+            zones: Zoning::of(file, control.reports_every, now),
             feed: control.change_log.map(|address| Feed::new(address, ChangeLog).overlapping()),
             feed_stirred: false,
             last_event: (0, 0),
@@ -213,10 +217,14 @@
         }
         if self.now >= self.look_at {
             self.fleet.tend(self.now);
+            self.look_at_zones();
             (self.look_at, self.changed) = (self.now + LOOK_EVERY, true);
         }
         if std::mem::take(&mut self.changed) {
             self.fleet.publish(&mut self.exchange, self.ports.len(), self.now, unix_ms());
+            if let Some(zones) = &self.zones {
+                zones.publish(&mut self.exchange, self.now, unix_ms());
+            }
         }
         let stuck = self.exchange.turn(self.now);
         self.end(&stuck, &Refusal::Stuck);
@@ -225,13 +233,24 @@
             && let Some(whole) = showing.go_on(&self.exchange, self.now)
             && let Some((reply, _)) = self.showing.pop_front()
         {
-            let _ = reply.send(whole);
+            let mut whole = whole;
+            let zones = self.zones.as_ref().map(|zones| zones.shown(self.now));
+            whole.config.extend(zones.into_iter().flatten());
+            let _ = reply.send(Ok(whole));
         }
         self.counters.turns += 1;
         let took = self.fleet.clock().now().saturating_sub(began).as_micros() as u64;
         self.counters.turn_longest_us = self.counters.turn_longest_us.max(took);
     }
 
+    /// Verdicts on zones, and what part of their keys hosts take by them.
+    fn look_at_zones(&mut self) {
+        let Some(zones) = &mut self.zones else { return };
+        self.changed |= zones.tick(self.now);
+        let parts: Vec<_> = zones.parts(self.now).collect();
+        self.fleet.hold_back(&parts, self.now);
+    }
+
     /// The change log's answers.
     fn follow(&mut self) {
         let Some(mut feed) = self.feed.take() else { return };
@@ -345,7 +364,19 @@
                 self.reported(&report);
                 drop(permit);
             }
-            Heard::Shown { reply } => {
+            Heard::Shown { order: Some((zone, order)), reply } => {
+                let none = || Err("this service decides of no zones".to_owned());
+                let now = self.now;
+                let done = self.zones.as_mut().map_or_else(none, |zones| zones.order(&zone, &order, now));
+                match done {
+                    Ok(()) => {
+                        self.look_at_zones();
+                        self.showing.push_back((reply, shown::Showing::default()));
+                    }
+                    Err(why) => drop(reply.send(Err(why))),
+                }
+            }
+            Heard::Shown { order: None, reply } => {
                 // Who asks too often is told that it can't be had, as its answer's end.
                 if self.showing.len() < SHOWING_MOST {
                     self.showing.push_back((reply, shown::Showing::default()));
@@ -397,11 +428,14 @@
     fn reported(&mut self, told: &LoadStatsRequest) {
         let node = told.node.as_ref().map(|node| node.id.as_str()).unwrap_or_default();
         let localities = told.cluster_stats.iter().flat_map(|cluster| &cluster.upstream_locality_stats);
-        let mut hosts = Vec::new();
+        let (mut hosts, mut seen, mut fills) = (Vec::new(), Vec::new(), (0, 0));
         for stats in localities.flat_map(|locality| &locality.upstream_endpoint_stats) {
             let address = stats.address.as_ref().and_then(messages::told_address);
             // Of a host that is not known, or no more, nothing is to be learnt.
-            let Some(host) = address.and_then(|address| self.fleet.at(address)) else { continue };
+            let named = stats.metadata.as_ref().and_then(messages::host_told);
+            let host = named.map_or_else(|| self.fleet.at(address?), |name| self.fleet.named(name));
+            let Some(host) = host else { continue };
+            let mut late = 0;
             let mut report = HostReport {
                 host,
                 returned: stats.total_successful_requests,
@@ -409,6 +443,9 @@
                 fills: Vec::new(),
             };
             for metric in &stats.load_metric_stats {
+                if metric.metric_name == "late" {
+                    late = metric.num_requests_finished_with_metric;
+                }
                 let Some((what, service)) = metric.metric_name.split_once('/') else { continue };
                 let Some(ds) = self.fleet.service(service) else { continue };
                 let at = report.fills.iter().position(|fills| fills.ds == ds).unwrap_or_else(|| {
@@ -425,10 +462,18 @@
                     _ => {}
                 }
             }
+            let (returned, errored) = (report.returned, report.errored);
+            seen.push(zoning::Told { zone: self.fleet.zone(host), returned, errored, late });
+            fills = report.fills.iter().fold(fills, |sum, f| (sum.0 + f.all, sum.1 + f.bad as u64));
             hosts.push(report);
         }
         if let Err(disbelief) = self.reports.take(node, &hosts, self.now) {
-            self.fault(&format!("a load report of {node:?} is not believed: {disbelief}"));
+            return self.fault(&format!("a load report of {node:?} is not believed: {disbelief}"));
+        }
+        if let Some(zones) = &mut self.zones {
+            let held = told.node.as_ref().and_then(|node| node.metadata.as_ref());
+            let taken = held.map_or(0, messages::taken);
+            zones.reported(node, &seen, taken, fills, held, self.now);
         }
     }
 
--- a/crates/control/src/shown.rs
+++ b/crates/control/src/shown.rs
@@ -1,6 +1,7 @@
 //! What operators are shown of proxies, by the published client-status service: made here, and asked for and printed.
 
 use crate::exchange::{Exchange, Form, Shown, StreamId};
+use crate::messages::zone_named;
 use envoy_types::pb::envoy::admin::v3::{ClientResourceStatus, UpdateFailureState};
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
@@ -17,11 +18,11 @@
 /// Bytes of an answer on a thousand proxies.
 const ANSWER_LONG: usize = 64 * 1024 * 1024;
 
-fn number(n: f64) -> Value {
+pub(crate) fn number(n: f64) -> Value {
     Value { kind: Some(Of::NumberValue(n)) }
 }
 
-fn text(text: &str) -> Value {
+pub(crate) fn text(text: &str) -> Value {
     Value { kind: Some(Of::StringValue(text.to_owned())) }
 }
 
@@ -99,8 +100,12 @@
     }
 }
 
-/// Asks a running service.
-pub fn ask(address: SocketAddr, patience: Duration) -> Result<ClientStatusResponse, String> {
+/// Asks a running service, with an order for one of its zones or without: the zone, and what is ordered.
+pub fn ask(
+    address: SocketAddr,
+    order: Option<(&str, &str)>,
+    patience: Duration,
+) -> Result<ClientStatusResponse, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     runtime.block_on(async {
@@ -108,7 +113,15 @@
             let client = csds::ClientStatusDiscoveryServiceClient::connect(format!("http://{address}")).await;
             let client = client.map_err(|e| format!("{address} can't be reached: {e}"))?;
             let mut client = client.max_decoding_message_size(ANSWER_LONG);
-            let answer = client.fetch_client_status(ClientStatusRequest::default()).await;
+            let node = order.map(|(zone, order)| Node {
+                id: "operator".into(),
+                metadata: Some(Struct {
+                    fields: [("zone", zone), ("order", order)].map(|(n, v)| (n.to_owned(), text(v))).into(),
+                }),
+                ..Default::default()
+            });
+            let request = ClientStatusRequest { node, ..Default::default() };
+            let answer = client.fetch_client_status(request).await;
             answer.map(tonic::Response::into_inner).map_err(|e| format!("{address} answers: {}", e.message()))
         };
         let late = |_| format!("{address} has not answered in {} ms", patience.as_millis());
@@ -116,6 +129,48 @@
     })
 }
 
+/// What an order asks for, if a request bears one: the zone, and what is ordered.
+pub fn ordered(request: &ClientStatusRequest) -> Option<(String, String)> {
+    let fields = &request.node.as_ref()?.metadata.as_ref()?.fields;
+    let said = |name: &str| match fields.get(name)?.kind.as_ref()? {
+        Of::StringValue(text) => Some(text.clone()),
+        _ => None,
+    };
+    Some((said("zone")?, said("order")?))
+}
+
+/// The table of zones that people read; `votes` adds who says what.
+pub fn print_zones(status: &ClientStatusResponse, votes: bool) -> String {
+    let mut out = String::new();
+    let heads = [
+        "stage", "part", "why", "order", "epoch", "step", "backs", "since ms", "sheds", "asked/s", "bears/s",
+    ];
+    let _ = write!(out, "{:<16}", "zone");
+    heads.iter().for_each(|head| _ = write!(out, " {head:>9}"));
+    let _ = writeln!(out, "  well/ill/dead of members");
+    for client in &status.config {
+        let Some(node) = &client.node else { continue };
+        let (Some(zone), Some(metadata)) = (zone_named(&node.id), &node.metadata) else { continue };
+        let told = |name: &str| match metadata.fields.get(name).and_then(|v| v.kind.as_ref()) {
+            Some(Of::NumberValue(n)) if matches!(name, "part" | "sheds") => format!("{:.0}%", n * 100.0),
+            Some(Of::NumberValue(n)) => format!("{n:.0}"),
+            Some(Of::StringValue(text)) => text.clone(),
+            _ => "?".to_owned(),
+        };
+        let _ = write!(out, "{zone:<16}");
+        for name in
+            ["stage", "part", "why", "order", "epoch", "step", "backs", "since_ms", "sheds", "asked", "bears"]
+        {
+            let _ = write!(out, " {:>9}", told(name));
+        }
+        let _ = writeln!(out, "  {}/{}/{} of {}", told("well"), told("ill"), told("dead"), told("members"));
+        if votes {
+            let _ = writeln!(out, "    {}", told("votes"));
+        }
+    }
+    out
+}
+
 /// The table that people read: a line for each proxy, one more for each thing that it refused.
 pub fn print(status: &ClientStatusResponse) -> String {
     let mut out = String::new();
@@ -129,7 +184,7 @@
     line(["proxy", "from", "form", "lease ms", "lag ms", "owed", "holds", "refused"]);
     let mut why = Vec::new();
     for client in &status.config {
-        let Some(node) = &client.node else { continue };
+        let Some(node) = client.node.as_ref().filter(|node| zone_named(&node.id).is_none()) else { continue };
         let told = |name: &str| {
             let value = node.metadata.as_ref().and_then(|m| m.fields.get(name)).and_then(|v| v.kind.as_ref());
             match value {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -48,13 +48,17 @@
 
 impl World {
     pub fn new(caches: usize, parents: usize) -> Self {
+        Self::leasing(caches, parents, lease())
+    }
+
+    pub fn leasing(caches: usize, parents: usize, lease: Lease) -> Self {
         // A cold host's budget in work is this router's alone; a follower has its part of the keys.
         let text = EXAMPLE.replace("(falls-at 2))", "(falls-at 2) (falls-in 1h))");
         let file = myrtlegauge_operator::read(&text).expect("the example has no fault");
         let clock = Clock::start();
         let now = clock.now();
         let fleet = Fleet::new(&file.facts, 7, clock).unwrap();
-        let mut world = Self { fleet, exchange: Exchange::new(lease(), 64), now };
+        let mut world = Self { fleet, exchange: Exchange::new(lease, 64), now };
         let mut lines: Vec<_> = (0..caches).map(|n| line(&format!("cache-{n}"), "active", 0)).collect();
         lines.extend((0..parents).map(|n| line(&format!("parent-{}", 1000 + n), "active", 0)));
         lines.push(line("origin-2000", "active", 0));
--- a/crates/control/tests/streams.rs
+++ b/crates/control/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use common::{Proxy, World, lease, line, ms};
 use myrtlegauge_control::exchange::{Exchange, Form, Lane, Refusal, Request, StreamId};
+use myrtlegauge_control::lease::Lease;
 use myrtlegauge_control::shelf::Kind;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -41,6 +42,20 @@
     insta::assert_snapshot!(got);
 }
 
+/// Heartbeats of a long lease are due seldom; being looked at many times before must not put one off.
+#[test]
+fn a_long_lease_is_renewed_however_often_it_is_looked_at() {
+    let mut world = World::leasing(2, 1, Lease::of(ms(10_000), ms(10_000), ms(5)));
+    let proxy = join(&mut world, Form::Delta);
+    let mut beats = 0;
+    for _ in 0..200 {
+        world.pass(ms(50));
+        let message = world.exchange.next(proxy.stream, Lane::Beat, world.now, 0);
+        beats += u32::from(message.is_some());
+    }
+    assert!((4..=6).contains(&beats), "{beats} in five fifths of a lease");
+}
+
 #[test]
 fn a_reconnect_at_any_point_gets_what_differs_and_no_more() {
     for form in [Form::Delta, Form::Whole] {
--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -5,26 +5,43 @@
 
 pub use start::{Told, moved};
 
-use crate::routing::Dispatcher;
+use crate::routing::{Dispatcher, Posting};
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use std::net::SocketAddr;
 
 pub fn run() -> Result<(), String> {
     let text = start::read()?;
     let told = start::Told::parse(&text)?;
+    let started = text.clone();
+    let reread = move || {
+        let (changelog, kept) = start::read().and_then(|text| moved(&started, &text))?;
+        if !kept.is_empty() {
+            log::warn!("read anew: {} can't change while running, kept as it was", kept.join(", "));
+        }
+        Ok(changelog)
+    };
+    serve(&told.name, told.posting()?, reread)
+}
+
+/// Takes GETs until it is told to end. `reread` says at SIGHUP where the change log is by what was told anew.
+pub fn serve(
+    name: &str,
+    posting: Posting<'_>,
+    reread: impl Fn() -> Result<SocketAddr, String> + 'static,
+) -> Result<(), String> {
     let mut turns = EventLoop::<Dispatcher>::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
         .map_err(|e| format!("signals can't be watched: {e}"))?;
-    let started = text.clone();
     let watched = turns.handle().insert_source(signals, move |signal, _, dispatcher| match signal.signal() {
         Signal::SIGUSR1 => report(dispatcher),
-        Signal::SIGHUP => reread(dispatcher, &started),
+        Signal::SIGHUP => follow(dispatcher, reread()),
         _ => dispatcher.stop(),
     });
     watched.map_err(|e| format!("signals can't be watched: {e}"))?;
-    let mut dispatcher = Dispatcher::start(turns.handle(), told.posting()?)?;
+    let mut dispatcher = Dispatcher::start(turns.handle(), posting)?;
     let address = dispatcher.address().map_err(|e| format!("the listener has no address: {e}"))?;
-    log::info!("{} listens on {address}", told.name);
+    log::info!("{name} listens on {address}");
     while !dispatcher.is_done() {
         turns.dispatch(dispatcher.patience(), &mut dispatcher).map_err(|e| format!("the event loop: {e}"))?;
         dispatcher.turn();
@@ -33,19 +50,13 @@
     Ok(())
 }
 
-/// Follows the change log that the file names now; an unusable file changes nothing.
-fn reread(dispatcher: &mut Dispatcher, started: &str) {
-    let moved = start::read().and_then(|text| moved(started, &text));
+/// Follows the change log that was named anew; what can't be used changes nothing.
+fn follow(dispatcher: &mut Dispatcher, moved: Result<SocketAddr, String>) {
     match &moved {
-        Ok((changelog, kept)) => {
-            log::info!("read anew: the change log is at {changelog}");
-            if !kept.is_empty() {
-                log::warn!("read anew: {} can't change while running, kept as it was", kept.join(", "));
-            }
-        }
+        Ok(changelog) => log::info!("read anew: the change log is at {changelog}"),
         Err(fault) => log::error!("not read anew, what was known stays: {fault}"),
     }
-    dispatcher.follow(moved.ok().map(|(changelog, _)| changelog));
+    dispatcher.follow(moved.ok());
 }
 
 fn report(dispatcher: &Dispatcher) {
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -63,7 +63,10 @@
     fn asked(&mut self, key: Key, place: Place, mut request: Request) -> Option<Get> {
         request.held = door::bare(&request.held);
         let (number, keep_conn) = (request.number, request.keep_conn);
-        let (get, id) = (self.door.get(&request), door::hex(&request.id).unwrap_or_default());
+        let (mut get, id) = (self.door.get(&request), door::hex(&request.id).unwrap_or_default());
+        if let (Some(get), Some(zones)) = (&mut get, &self.zones) {
+            get.over = zones.is_over(myrtlegauge::reading::key(get.object, get.part));
+        }
         // Two GETs under one id would take each other's answers at a host.
         let twice = get.is_some() && self.hands.holds(id);
         self.counters.twice += u64::from(twice);
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -6,6 +6,7 @@
 use super::hands::Hands;
 use super::hosts::{Host, Link};
 use super::keyed::Keyed;
+use super::zones::{ZoneNews, Zones};
 use super::{Dispatcher, Key, Who};
 use bytes::BytesMut;
 use myrtlegauge::interface::{End, Get, HostIndex, Note, Place, Values, span};
@@ -127,6 +128,10 @@
     pub doubted: Option<Duration>,
     /// When this life was of use again, and what held it back.
     pub record: Record,
+    /// The fleet's verdicts on zones, where services are followed.
+    pub zones: Option<Zones>,
+    pub zone_heard: Vec<ZoneNews>,
+    pub zones_due: Duration,
 }
 
 /// A budget of log lines in each `LOG_EVERY`, and how many went unsaid since the last line said.
@@ -229,6 +234,9 @@
             from_origin_at: Duration::ZERO,
             doubted: None,
             record: Record::begin(clock.now()),
+            zones: None,
+            zone_heard: Vec::new(),
+            zones_due: Duration::MAX,
             clock,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
@@ -325,11 +333,11 @@
     }
 
     pub fn next_due(&self) -> Duration {
-        if !self.stirred.is_empty() && !self.is_full_of_requests() {
+        if !self.zone_heard.is_empty() || !self.stirred.is_empty() && !self.is_full_of_requests() {
             return Duration::ZERO;
         }
         let first = self.dues.peek().map_or(Duration::MAX, |Reverse((at, _))| *at);
-        first.min(self.wake_at).min(self.tidy_at).min(self.feed.due)
+        first.min(self.wake_at).min(self.tidy_at).min(self.feed.due).min(self.zones_due)
     }
 
     pub fn has_news(&self) -> bool {
@@ -339,6 +347,7 @@
             || !self.ended.is_empty()
             || !self.abandoned.is_empty()
             || self.now >= self.wake_at
+            || self.now >= self.zones_due
     }
 
     pub fn wake_in(&mut self, after: Duration) {
@@ -359,7 +368,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        self.listed && self.stops_at.is_none()
+        self.listed && self.stops_at.is_none() && !self.zones.as_ref().is_some_and(|z| z.is_unsure(self.now))
     }
 
     pub fn stop(&mut self) {
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/door.rs
@@ -47,6 +47,7 @@
             size_kb: 0.0,
             viewer_timeout: span(budget),
             again: Self::is_retry(request),
+            over: false,
         })
     }
 
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -355,6 +355,16 @@
         let Told { note, source_wait, load } = told;
         self.counters.ended(end, note);
         self.filled_from_origin += u32::from(note == Note::FilledFromOrigin);
+        let (ds, spent) = (self.hands.at(place).get.ds, self.now - out.at);
+        if let Some(zones) = &mut self.zones {
+            let late = spent > self.manners.aims.get(ds).copied().unwrap_or(Duration::MAX);
+            let filled = match note {
+                Note::Filled | Note::FilledFromOrigin => Some((ds, late)),
+                Note::SourceRefused | Note::SourceBroke | Note::OriginFailed => Some((ds, true)),
+                _ => None,
+            };
+            zones.saw(out.to.host, out.to.source, end, late && source_wait * 2 < spent, filled);
+        }
         let hand = self.hands.at(place);
         hand.last = Some((out.to.host, end, note));
         let closed = hand.owed.is_none();
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/hands.rs
@@ -59,6 +59,10 @@
         self.places[place] = hand;
     }
 
+    pub fn peek(&self, place: Place) -> &Hand {
+        &self.places[place]
+    }
+
     pub fn at(&mut self, place: Place) -> &mut Hand {
         &mut self.places[place]
     }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod keyed;
 mod news;
 mod sockets;
+mod zones;
 
 use bytes::Bytes;
 pub use desk::{Desk, Room};
@@ -26,6 +27,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+pub use zones::{SeenHost, ZoneNews, ZonePort, ZoneReport};
 
 /// What can stir in the loop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +46,8 @@
     pub facts: &'a Values,
     pub seed: u64,
     pub room: Room,
+    /// The services to follow on zones; none in `run`.
+    pub zones: Option<ZonePort>,
 }
 
 pub struct Dispatcher {
@@ -60,7 +64,7 @@
 }
 
 impl Dispatcher {
-    pub fn start(hub: Hub<Self>, posting: Posting<'_>) -> Result<Self, String> {
+    pub fn start(hub: Hub<Self>, mut posting: Posting<'_>) -> Result<Self, String> {
         let router = Router::new(posting.facts, posting.seed)?;
         let accounts = Rc::new(Accounts::default());
         let listener = Listener::open(&hub, posting.listen, Who::Listener, &accounts)
@@ -68,7 +72,21 @@
         let feed = Feed::new(posting.changelog, Who::Feed);
         let names =
             (Door::new(posting.facts)?, Places::new(posting.facts)?, desk::Manners::read(posting.facts));
-        let desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
+        let port = posting.zones.take();
+        let news = hub.clone();
+        let mut desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
+        if let Some(ZonePort { news: heard, report, every }) = port {
+            let into = news.insert_source(heard, |event, (), dispatcher: &mut Self| {
+                if let calloop::channel::Event::Msg(news) = event {
+                    dispatcher.desk.zone_heard.push(news);
+                }
+            });
+            into.map_err(|e| format!("news of zones can't be heard: {e}"))?;
+            let names = myrtlegauge::values::list(posting.facts, "zones")?;
+            let names = names.iter().map(|name| name.as_str().unwrap_or_default().to_owned()).collect();
+            desk.zones = Some(zones::Zones::new(names, every, report, desk.now));
+            desk.zones_due = desk.now;
+        }
         let mut started = Self { router, desk };
         let now = started.desk.now;
         started.router.round(now, &mut started.desk, |round| {
@@ -93,6 +111,7 @@
     pub fn turn(&mut self) {
         let Self { router, desk } = self;
         desk.read();
+        desk.hear_zones();
         desk.write();
         while desk.has_news() {
             let began = Instant::now();
@@ -103,6 +122,10 @@
                 }
                 let doubted = round.desk().doubted;
                 round.doubted(doubted);
+                let moved = round.desk().zones_moved();
+                if !moved.is_empty() {
+                    round.listed(ListKind::Changes, &moved);
+                }
                 while let Some((place, outcome)) = round.desk().next_answered() {
                     round.outcome(place, &outcome);
                 }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -71,6 +71,10 @@
             self.doubted = Some(now);
             self.counters.gaps += 1;
             self.feed.hurry(now);
+            if let Some(zones) = &mut self.zones {
+                zones.woke(now);
+                self.zones_due = now;
+            }
         }
     }
 
@@ -138,7 +142,7 @@
                 self.fault(format_args!("host {} has {what}: taken as gone", line.name));
             }
             self.stands(index, entry, address);
-            entries.push(entry);
+            entries.push(self.zones.as_ref().map_or(entry, |zones| zones.told(entry)));
         }
         self.listed |= !entries.is_empty();
         if self.listed && self.record.listed(self.now) {
@@ -194,7 +198,7 @@
 
     /// What still waits for a connection was decided before this news: it never ran and is decided again. Guards
     /// drains and purges, whose graces may be shorter than a connection takes. It hurts by one forward of a GET.
-    fn decide_anew(&mut self, concerned: impl Fn(&Hand, &Out) -> bool) {
+    pub fn decide_anew(&mut self, concerned: impl Fn(&Hand, &Out) -> bool) {
         for (_, link) in self.links.iter_mut() {
             if link.up {
                 continue;
--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,50 @@
+//! A dispatcher of another installation: told in an operator file, it takes GETs as the platform's does, and follows control
+//! services on zones over the streams that they speak. Nothing is decided here.
+
+pub mod stream;
+
+use myrtlegauge_dispatcher::program;
+use myrtlegauge_dispatcher::routing::{Posting, Room, ZonePort};
+use myrtlegauge_operator::OperatorFile;
+use myrtlegauge_wire::protocol::changelog::Changes;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Runs a dispatcher until it is told to end. SIGHUP reads where the change log is again.
+///
+/// # Errors
+/// A file without a dispatcher in it, an address that can't be listened on.
+pub fn run(path: PathBuf, file: &OperatorFile) -> Result<(), String> {
+    let told = file.dispatcher.as_ref().ok_or("the file tells of no dispatcher")?;
+    let zones = if told.follow.is_empty() {
+        None
+    } else {
+        let (says, news) = calloop::channel::channel();
+        let following = stream::Following {
+            name: told.name.clone(),
+            zones: file.zones.iter().map(|zone| zone.name.clone()).collect(),
+            services: file.services.clone(),
+            to: told.follow.clone(),
+        };
+        let reports = stream::start(following, says)?;
+        let report = Box::new(move |report| drop(reports.send(std::sync::Arc::new(report))));
+        Some(ZonePort { news, report, every: told.reports_every })
+    };
+    let posting = Posting {
+        listen: told.listen,
+        changelog: told.change_log,
+        known: Changes { last: 0, results: Vec::new() },
+        facts: &file.facts,
+        seed: fastrand::u64(..),
+        room: Room { descriptors: told.sockets, memory: told.memory_mb << 20 },
+        zones,
+    };
+    program::serve(&told.name, posting, move || change_log(&path))
+}
+
+fn change_log(path: &Path) -> Result<SocketAddr, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+    let file = myrtlegauge_operator::read(&text)
+        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+    file.dispatcher.map(|told| told.change_log).ok_or_else(|| "the file tells of no dispatcher".into())
+}
--- a/crates/lab/src/comeback.rs
+++ b/crates/lab/src/comeback.rs
@@ -132,6 +132,11 @@
         long: before + Duration::from_secs(after),
         seed: plan.seed,
         fault,
+        zones: 1,
+        services: 0,
+        zone_bears: 0.0,
+        cache_slots: fleet::CACHE_SLOTS,
+        warm_within: fleet::WARM_WITHIN,
     }
 }
 
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod front;
 pub mod judge;
 pub mod plot;
+pub mod zoned;
 
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::hosts::{self, Arrived, Bounds, Cold, Host};
@@ -32,7 +33,8 @@
 const KNOWN: u32 = 20;
 pub const ORIGIN_WORK: Duration = Duration::from_millis(60);
 const CACHE_WORK: Duration = Duration::from_millis(15);
-const CACHE_SLOTS: usize = 2;
+pub const WARM_WITHIN: Duration = Duration::from_secs(3);
+pub const CACHE_SLOTS: usize = 2;
 const PARENT_WORK: Duration = Duration::from_millis(5);
 /// Points of each host on the ring, all being of one size.
 const RING_POINTS: u64 = 96;
@@ -54,6 +56,16 @@
     pub long: Duration,
     pub seed: u64,
     pub fault: Option<Fault>,
+    /// Zones that the caches stand in; with several, dispatchers are told in operator files.
+    pub zones: usize,
+    /// Control services whose verdicts on zones they follow.
+    pub services: usize,
+    /// GETs a second that a zone's caches bear; zero: not told.
+    pub zone_bears: f64,
+    /// Places for work of a cache.
+    pub cache_slots: usize,
+    /// Until a cache that started cold bears all its work; the programs are told it.
+    pub warm_within: Duration,
 }
 
 /// A fault put into the run itself, so that its judge is seen to see it.
@@ -65,6 +77,14 @@
     EffectsAgain,
     /// Each dispatcher is told that no other shares its sources.
     ToldAlone,
+    /// One voter has many names.
+    NoQuorum,
+    /// A part of a returning zone is used for as long as nobody takes it back.
+    NoLease,
+    /// A zone that was left takes all its keys at once.
+    NoPace,
+    /// What zones bear is not told.
+    NoCapacity,
 }
 
 /// What goes wrong. Shares are percent.
@@ -124,6 +144,51 @@
         share: usize,
         long: Duration,
     },
+    /// A zone's caches are dead, and back cold.
+    ZoneDead {
+        zone: usize,
+        long: Duration,
+    },
+    /// They hear nothing and say nothing, to so many dispatchers; back as they were, or cold.
+    ZoneCut {
+        zone: usize,
+        share: usize,
+        cold: bool,
+        long: Duration,
+    },
+    /// They take so many times as long.
+    ZoneSlow {
+        zone: usize,
+        times: u32,
+        long: Duration,
+    },
+    /// Of what they say so many of a hundred messages are lost.
+    ZoneLossy {
+        zone: usize,
+        lossy: u32,
+        long: Duration,
+    },
+    /// Control services are killed, one or all, and start again with nothing.
+    ServicesDie {
+        one: bool,
+        long: Duration,
+    },
+    /// So many dispatchers are cut off from all control services, without a word.
+    ServicesCut {
+        share: usize,
+        long: Duration,
+    },
+    /// An operator orders something of a zone at the first service.
+    Order {
+        zone: usize,
+        order: &'static str,
+    },
+    /// So many voters beside the dispatchers say that a zone is dead, whatever it is.
+    Liars {
+        zone: usize,
+        count: usize,
+        long: Duration,
+    },
     /// Their ways to caches are slow, and lose some of what is sent on the way back.
     Bad {
         share: usize,
@@ -156,6 +221,12 @@
     pub lag: Duration,
     /// When caches lost what they held.
     pub emptied: Vec<(Duration, usize)>,
+    /// By zone and dispatcher, when GETs came to its caches.
+    pub came: Vec<Vec<Vec<Duration>>>,
+    /// By zone and half second, work asked of its caches over what they bear, those that began cold as warm as they were.
+    pub pressed: Vec<Vec<f64>>,
+    /// Verdicts as a control service told them first, and to whom it would be told since the first GET.
+    pub verdicts: Vec<zoned::Seen>,
 }
 
 impl Played {
@@ -183,8 +254,27 @@
         full.filter_map(field).collect()
     }
 
+    /// Which GETs were returned in time, by the order of the schedule.
+    pub fn in_time(&self) -> Vec<bool> {
+        let mut in_time = vec![false; self.dues.len()];
+        for got in self.got.iter().filter(|got| got.how == front::How::InTime) {
+            let at = self.dues.partition_point(|due| due.at < got.due.at);
+            if let Some(good) = in_time.get_mut(at) {
+                *good = true;
+            }
+        }
+        in_time
+    }
+
     /// What an informed policy would have lost from the fault on.
     pub fn bound(&self, scene: &Scene, script: &Script) -> u32 {
+        let served = self.informed(scene, script);
+        let lost = self.dues.iter().zip(&served).filter(|(due, served)| due.at >= scene.before && !**served);
+        lost.count() as u32
+    }
+
+    /// Which GETs an informed policy would have served in time.
+    pub fn informed(&self, scene: &Scene, script: &Script) -> Vec<bool> {
         let dead = script.iter().filter_map(|(at, trouble)| match trouble {
             Trouble::OriginDead { long } => Some((*at, *at + *long)),
             _ => None,
@@ -207,9 +297,7 @@
             dead: dead.collect(),
             slowed: slowed.collect(),
         };
-        let served = bound::served(&self.dues, &known);
-        let lost = self.dues.iter().zip(&served).filter(|(due, served)| due.at >= scene.before && !**served);
-        lost.count() as u32
+        bound::served(&self.dues, &known)
     }
 }
 
@@ -264,6 +352,7 @@
     other_logs: Vec<SocketAddr>,
     lives: Mutex<Vec<Vec<Life>>>,
     emptied: Mutex<Vec<(Duration, usize)>>,
+    services: Vec<zoned::Followed>,
     began: Instant,
 }
 
@@ -404,6 +493,67 @@
             }
             Trouble::Deaf { share, long } => self.badly(share, long, &[Way::Cut], &[]).await,
             Trouble::Reset { share, long } => self.badly(share, long, &[Way::Reset], &[]).await,
+            Trouble::ZoneDead { zone, long } => {
+                let which = self.scene.caches_of(zone);
+                which.clone().for_each(|cache| self.hosts[cache].down(long));
+                tokio::time::sleep(long).await;
+                self.restart_caches(&which.collect::<Vec<_>>());
+            }
+            Trouble::ZoneCut { zone, share, cold, long } => {
+                let which: Vec<usize> = self.scene.caches_of(zone).collect();
+                let from = self.some_dispatchers(share);
+                let pairs = || pairs(which.iter().copied(), &from);
+                pairs().for_each(|(host, one)| self.net.set_both(host, one, Way::Cut));
+                tokio::time::sleep(long).await;
+                if cold {
+                    self.restart_caches(&which);
+                }
+                pairs().for_each(|(host, one)| self.net.mend_both(host, one));
+            }
+            Trouble::ZoneSlow { zone, times, long } => {
+                let which = self.scene.caches_of(zone);
+                which.clone().for_each(|cache| self.hosts[cache].slow(times * 100));
+                tokio::time::sleep(long).await;
+                which.for_each(|cache| self.hosts[cache].slow(100));
+            }
+            Trouble::ZoneLossy { zone, lossy, long } => {
+                let all: Vec<usize> = (0..self.scene.dispatchers).collect();
+                let pairs = || pairs(self.scene.caches_of(zone), &all);
+                pairs().for_each(|(host, one)| self.net.set(host, one, Way::Lossy(lossy)));
+                tokio::time::sleep(long).await;
+                pairs().for_each(|(host, one)| self.net.mend_both(host, one));
+            }
+            Trouble::ServicesDie { one, long } => {
+                let which = if one { &self.services[..1] } else { &self.services[..] };
+                for service in which {
+                    service.process.lock().await.kill();
+                }
+                tokio::time::sleep(long).await;
+                for service in which {
+                    service.process.lock().await.start()?;
+                }
+            }
+            Trouble::ServicesCut { share, long } => {
+                let which = self.some_dispatchers(share);
+                let links = || which.iter().flat_map(|&one| self.services.iter().map(move |s| &s.links[one]));
+                links().for_each(|link| link.cut());
+                tokio::time::sleep(long).await;
+                links().for_each(|link| link.mend());
+            }
+            Trouble::Order { zone, order } => {
+                let (zone, to) =
+                    (zoned::zone_name(zone), self.services.first().map(|service| service.address));
+                let ask = move || {
+                    let to = to.ok_or("no service to order anything of")?;
+                    myrtlegauge_control::shown::ask(to, Some((&zone, order)), Duration::from_secs(2))
+                };
+                tokio::task::spawn_blocking(ask).await.map_err(|e| e.to_string())??;
+            }
+            Trouble::Liars { zone, count, long } => {
+                let hosts: Vec<_> =
+                    self.scene.caches_of(zone).map(|cache| self.hosts[cache].address).collect();
+                zoned::lie(&self.services, &hosts, count, long).await;
+            }
             Trouble::Bad { share, slow, lossy, long } => {
                 self.badly(share, long, &[Way::Lossy(lossy)], &[Way::Slow(slow)]).await;
             }
@@ -448,15 +598,11 @@
     let net = Arc::new(Net::new(scene.seed));
     let ledger = Arc::new(Ledger::new());
     let log = Arc::new(ChangeLog::on(Arc::clone(&ledger), Arc::clone(&net)).map_err(io)?);
-    let cold = Cold {
-        share: 0.22,
-        warm_within: Duration::from_secs(3),
-        falls_at: 1.0,
-        down_for: Duration::from_secs(2),
-    };
+    let cold =
+        Cold { share: 0.22, warm_within: scene.warm_within, falls_at: 1.0, down_for: Duration::from_secs(2) };
     let bounds = |kind: &str| match kind {
         "cache" => Bounds {
-            slots: CACHE_SLOTS,
+            slots: scene.cache_slots,
             queue: 64,
             hit: CACHE_WORK,
             fill: CACHE_WORK,
@@ -489,7 +635,8 @@
     let mut hosts = Vec::new();
     for (index, kind) in kinds.enumerate() {
         let host = Host::bound(index, kind, bounds(kind), Arc::clone(&net)).map_err(io)?;
-        hosts.push(Arc::new(host.by_object()));
+        let zone = if kind == "cache" { scene.zone_of(index) } else { "hub".to_owned() };
+        hosts.push(Arc::new(host.by_object().in_zone(zone)));
     }
     let (mut addresses, mut logs, mut other_logs) = (Vec::new(), Vec::new(), Vec::new());
     for dispatcher in 0..scene.dispatchers {
@@ -510,8 +657,15 @@
     let serves = Arc::clone(&log);
     tasks.spawn(async move { drop(serves.serve().await) });
     let settings = settings(scene, &log.address.to_string())?;
+    let services = zoned::start(scene, log.address).await?;
     let mut dispatchers = Vec::new();
     for (index, own) in addresses.iter().enumerate() {
+        if scene.zones > 1 {
+            let follow: Vec<_> = services.iter().map(|service| service.links[index].address).collect();
+            let text = |listen| zoned::dispatcher_file(scene, index, listen, logs[index], &follow);
+            dispatchers.push(Held::new(Dispatcher::start_following(text, false)?));
+            continue;
+        }
         let told = Told {
             name: format!("d{index}"),
             changelog: logs[index],
@@ -547,8 +701,10 @@
         addresses,
         other_logs,
         emptied: Mutex::default(),
+        services,
         began,
     });
+    let verdicts = zoned::watch(&stage.services, began);
     let lag = Arc::new(AtomicU64::new(0));
     let watch = tokio::spawn(watch(Arc::clone(&lag)));
     let mut happening = Vec::new();
@@ -574,7 +730,9 @@
     for (index, dispatcher) in stage.dispatchers.iter().enumerate() {
         let mut dispatcher = dispatcher.lock().await;
         if dispatcher.has_crashed() {
-            crashed.push(format!("dispatcher {index} ended by itself"));
+            let logged = dispatcher.logged();
+            let last = logged.lines().rev().take(3).collect::<Vec<_>>().join(" | ");
+            crashed.push(format!("dispatcher {index} ended by itself: {last}"));
         }
         // Asked to end, it tells its counters.
         dispatcher.signal(Signal::TERM);
@@ -615,5 +773,8 @@
         logs: logged,
         lag: Duration::from_micros(lag.load(Ordering::Relaxed)),
         emptied,
+        came: zoned::came(scene, hosts, began),
+        pressed: zoned::pressed(scene, hosts, began),
+        verdicts: verdicts.lock().expect("no holder panics").clone(),
     })
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,16 +1,18 @@
 //! Proof runs: stand-ins on loopback around the real programs, faults drawn from a seed, an oracle that counts at the
 //! stand-ins. `xds` proves the control service, `client` the client library, `return` a fleet
-//! that comes back together. Exit code 0 only if every promise held; 3 if the machine was too busy
+//! that comes back together, `leave` one that
+//! leaves a zone and returns. Exit code 0 only if every promise held; 3 if the machine was too busy
 //! to judge.
 
 mod client;
 mod comeback;
 mod fleet;
+mod leave;
 mod stand;
 mod xds;
 
 use clap::{Parser, Subcommand};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Proof runs of myrtlegauge, on loopback.
@@ -28,12 +30,14 @@
     Client(client::Plan),
     /// Coming back together: dispatchers killed, caches emptied, sources near what they bear.
     Return(comeback::Plan),
+    /// Leaving a zone as a fleet, and coming back to it in steps.
+    Leave(leave::Plan),
     /// The control service itself, for a proof run to start and kill.
     #[command(hide = true)]
     Serve { file: PathBuf },
     /// The dispatcher, for a proof run to start.
     #[command(hide = true)]
-    Dispatch,
+    Dispatch { file: Option<PathBuf> },
 }
 
 fn main() -> ExitCode {
@@ -41,21 +45,27 @@
         Proof::Xds(plan) => xds::run(&plan),
         Proof::Client(plan) => client::run(&plan),
         Proof::Return(plan) => comeback::run(&plan),
-        Proof::Dispatch => {
+        Proof::Leave(plan) => leave::run(&plan),
+        Proof::Dispatch { file: None } => {
             myrtlegauge_operator::logs::start_plain();
             ended(myrtlegauge_dispatcher::program::run())
         }
+        Proof::Dispatch { file: Some(file) } => {
+            ended(told(&file).and_then(|told| myrtlegauge_follow::run(file, &told)))
+        }
         Proof::Serve { file } => {
-            let text = std::fs::read_to_string(&file).map_err(|e| e.to_string());
-            ended(text.and_then(|text| {
-                let told = myrtlegauge_operator::read(&text).map_err(|faults| format!("{faults:?}"))?;
-                myrtlegauge_operator::logs::start(told.log_form, told.log_level);
-                myrtlegauge_control::service::run(file, &told)
-            }))
+            ended(told(&file).and_then(|told| myrtlegauge_control::service::run(file, &told)))
         }
     }
 }
 
+fn told(file: &Path) -> Result<myrtlegauge_operator::OperatorFile, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+    let told = myrtlegauge_operator::read(&text).map_err(|faults| format!("{faults:?}"))?;
+    myrtlegauge_operator::logs::start(told.log_form, told.log_level);
+    Ok(told)
+}
+
 fn ended(result: Result<(), String>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/lab/src/stand/hosts.rs
+++ b/crates/lab/src/stand/hosts.rs
@@ -118,6 +118,8 @@
     pub name: String,
     pub address: SocketAddr,
     pub kind: &'static str,
+    /// Where it stands, as the list tells it.
+    pub zone: String,
     /// When its life began, Unix milliseconds, as the list tells it.
     pub since_ms: AtomicU64,
     /// An effect is known by the object it names, not by the id of the try; and no answer is lost on purpose.
@@ -132,6 +134,8 @@
     began: Mutex<Option<Instant>>,
     listeners: Mutex<Vec<(Party, std::net::TcpListener)>>,
     store: Mutex<Store>,
+    /// When GETs came, and from whom.
+    came: Mutex<Vec<(Instant, Party)>>,
     steps: Mutex<(Instant, Vec<Arrived>)>,
     /// Times that it fell over, pushed while cold.
     pub fell: AtomicU32,
@@ -161,6 +165,8 @@
             name: format!("{kind}-{index}"),
             address,
             kind,
+            zone: if kind == "cache" { "edge" } else { "hub" }.to_owned(),
+            came: Mutex::default(),
             since_ms: AtomicU64::new(0),
             by_object: false,
             bounds,
@@ -179,6 +185,15 @@
         })
     }
 
+    pub fn in_zone(self, zone: String) -> Self {
+        Self { zone, ..self }
+    }
+
+    /// When GETs came from each dispatcher.
+    pub fn came(&self) -> Vec<(Instant, Party)> {
+        self.came.lock().expect("no holder panics").clone()
+    }
+
     pub fn by_object(self) -> Self {
         Self { by_object: true, ..self }
     }
@@ -224,6 +239,16 @@
         self.bounds.slots as f64
     }
 
+    /// The same at a moment, by how long it had been there: a start that came later is none yet.
+    pub fn bears_at(&self, at: Instant) -> f64 {
+        let began = *self.began.lock().expect("no holder panics");
+        let (Some(cold), Some(began)) = (self.bounds.cold, began.filter(|began| *began <= at)) else {
+            return self.bears();
+        };
+        let age = (at - began).div_duration_f64(cold.warm_within).min(1.0);
+        self.bears() * (cold.share + (1.0 - cold.share) * age)
+    }
+
     /// What came, by steps since `from`.
     pub fn arrived(&self, from: Instant) -> Vec<Arrived> {
         let steps = self.steps.lock().expect("no holder panics");
@@ -330,6 +355,9 @@
                 _ = &mut writes => return Ok(()),
             };
             let Some(got) = got else { return Ok(()) };
+            if got.first().is_some_and(|verb| verb == b"serve") {
+                self.came.lock().expect("no holder panics").push((Instant::now(), who));
+            }
             if self.net.pass(who, here).await == Passed::Reset || self.is_down() {
                 return Ok(());
             }
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -5,8 +5,10 @@
 pub mod changelog;
 pub mod hosts;
 pub mod ledger;
+pub mod link;
 pub mod net;
 pub mod process;
+pub mod service;
 
 use hosts::Host;
 use serde_json::json;
@@ -48,11 +50,8 @@
 
 /// A host's line of the list.
 pub fn line(host: &Host, status: &str, since_ms: u64) -> String {
-    let (kind, zone) = match host.kind {
-        "cache" => ("standard", "edge"),
-        kind => (kind, "hub"),
-    };
-    json!({"name": host.name, "address": host.address.to_string(), "zone": zone, "type": kind, "group": 0,
+    let kind = if host.kind == "cache" { "standard" } else { host.kind };
+    json!({"name": host.name, "address": host.address.to_string(), "zone": host.zone, "type": kind, "group": 0,
         "status": status, "weight": 4.0, "since_ms": since_ms})
     .to_string()
 }
--- a/crates/lab/src/stand/process.rs
+++ b/crates/lab/src/stand/process.rs
@@ -3,14 +3,14 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Runs of this process so far: files of several runs stand apart.
-static FILES: AtomicU32 = AtomicU32::new(0);
+pub static FILES: AtomicU32 = AtomicU32::new(0);
 
 pub struct Dispatcher {
     pub address: SocketAddr,
@@ -21,7 +21,13 @@
     /// Times that it was started.
     lives: u32,
     seed: u64,
-    config: Value,
+    config: Config,
+}
+
+/// How a dispatcher is told what it is: by the platform's file, or by an operator's.
+enum Config {
+    Platform(Value),
+    Operator(String),
 }
 
 /// What a dispatcher is told, settings apart.
@@ -32,7 +38,7 @@
     pub seed: u64,
 }
 
-fn spawn(file: &Path, log: &Path, verbose: bool) -> Result<Child, String> {
+fn spawn(file: &Path, log: &Path, verbose: bool, operator: bool) -> Result<Child, String> {
     let appended = || File::options().create(true).append(true).open(log);
     let errors = if verbose {
         Stdio::inherit()
@@ -40,11 +46,11 @@
         appended().map_err(|e| format!("{}: {e}", log.display()))?.into()
     };
     // An earlier version of the program can stand in its place, for a comparison.
-    let mut program = match std::env::var_os("LAB_DISPATCHER") {
+    let mut program = match std::env::var_os("LAB_DISPATCHER").filter(|_| !operator) {
         Some(earlier) => Command::new(earlier),
         None => {
             let mut own = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
-            own.arg("dispatch");
+            own.arg("dispatch").args(operator.then_some(file));
             own
         }
     };
@@ -83,11 +89,14 @@
     Ok(settings)
 }
 
-/// An address of this run's own on loopback: a port that is free now stays so there, since connections go out from
-/// another address and other runs listen at others, also while a dispatcher is down.
-fn own_address() -> Ipv4Addr {
+/// An address of this run's own on loopback, with a port that nothing else has: connections go out from another address
+/// and other runs listen at others, so that it stays free while a program is down.
+pub fn own_address() -> SocketAddr {
+    static PORTS: AtomicU32 = AtomicU32::new(10_000);
     let id = std::process::id();
-    Ipv4Addr::new(127, 1 + (id >> 14 & 0x3f) as u8, (id >> 7 & 0x7f) as u8, 1 + (id & 0x7f) as u8)
+    let address =
+        Ipv4Addr::new(127, 1 + (id >> 14 & 0x3f) as u8, (id >> 7 & 0x7f) as u8, 1 + (id & 0x7f) as u8);
+    (address, PORTS.fetch_add(1, Ordering::Relaxed) as u16).into()
 }
 
 impl Dispatcher {
@@ -98,17 +107,25 @@
     }
 
     pub fn start_as(settings: &Value, told: Told, verbose: bool) -> Result<Self, String> {
-        let free = TcpListener::bind((own_address(), 0)).and_then(|listener| listener.local_addr());
-        let address = free.map_err(|e| e.to_string())?;
+        let address = own_address();
         let config = json!({"name": told.name, "listen": address.to_string(), "seed": format!("{:x}", told.seed),
             "changelog": told.changelog.to_string(), "limits": {"memory_mb": 192, "sockets": 1024},
             "known": told.known, "settings": settings});
+        Self::start_by(address, Config::Platform(config), told.seed, verbose)
+    }
+
+    /// One that an operator file tells, made of the address that it listens at.
+    pub fn start_following(text: impl Fn(SocketAddr) -> String, verbose: bool) -> Result<Self, String> {
+        let address = own_address();
+        Self::start_by(address, Config::Operator(text(address)), 0, verbose)
+    }
+
+    fn start_by(address: SocketAddr, config: Config, seed: u64, verbose: bool) -> Result<Self, String> {
         let number = FILES.fetch_add(1, Ordering::Relaxed);
         let stem = format!("myrtlegauge-lab-{}-{number}", std::process::id());
         let file = std::env::temp_dir().join(format!("{stem}.json"));
         let log = std::env::temp_dir().join(format!("{stem}.log"));
-        let mut started =
-            Self { address, file, log, child: None, verbose, lives: 0, seed: told.seed, config };
+        let mut started = Self { address, file, log, child: None, verbose, lives: 0, seed, config };
         started.begin(None)?;
         Ok(started)
     }
@@ -117,23 +134,31 @@
     pub fn begin(&mut self, known: Option<Value>) -> Result<(), String> {
         self.kill();
         self.lives += 1;
-        if let Some(known) = known {
-            self.config["known"] = known;
+        if let Config::Platform(config) = &mut self.config {
+            if let Some(known) = known {
+                config["known"] = known;
+            }
+            config["seed"] = json!(format!("{:x}", self.seed.wrapping_add(u64::from(self.lives) << 32)));
         }
-        self.config["seed"] = json!(format!("{:x}", self.seed.wrapping_add(u64::from(self.lives) << 32)));
         self.write()?;
-        self.child = Some(spawn(&self.file, &self.log, self.verbose)?);
+        self.child =
+            Some(spawn(&self.file, &self.log, self.verbose, matches!(self.config, Config::Operator(_)))?);
         Ok(())
     }
 
     fn write(&self) -> Result<(), String> {
-        std::fs::write(&self.file, self.config.to_string())
-            .map_err(|e| format!("{}: {e}", self.file.display()))
+        let text = match &self.config {
+            Config::Platform(config) => config.to_string(),
+            Config::Operator(text) => text.clone(),
+        };
+        std::fs::write(&self.file, text).map_err(|e| format!("{}: {e}", self.file.display()))
     }
 
     /// Tells the running life of another change log, as the platform does: the file anew, then SIGHUP.
     pub fn follow(&mut self, changelog: SocketAddr) -> Result<(), String> {
-        self.config["changelog"] = json!(changelog.to_string());
+        if let Config::Platform(config) = &mut self.config {
+            config["changelog"] = json!(changelog.to_string());
+        }
         self.write()?;
         self.signal(Signal::HUP);
         Ok(())
--- a/crates/lab/src/xds/service.rs
+++ b/crates/lab/src/stand/service.rs
@@ -1,10 +1,11 @@
 //! The control service as a process of its own, started and killed by the proof run.
 
-use crate::stand::process::{Used, operator_file, used};
+use super::process::{FILES, Used, own_address, used};
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 pub struct Service {
@@ -15,11 +16,12 @@
 }
 
 impl Service {
-    pub fn new(log: SocketAddr, verbose: bool, drain_grace_ms: u64) -> Result<Self, String> {
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-        let address = free.map_err(|e| e.to_string())?;
-        let file = std::env::temp_dir().join(format!("myrtlegauge-lab-{}.sexp", std::process::id()));
-        let text = operator_file(&address.to_string(), &log.to_string(), verbose, drain_grace_ms);
+    /// `text` makes its operator file of the address that it listens at.
+    pub fn new(verbose: bool, text: impl Fn(&str) -> String) -> Result<Self, String> {
+        let address = own_address();
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("myrtlegauge-lab-{}-{number}.sexp", std::process::id()));
+        let text = text(&address.to_string());
         let written = std::fs::File::create(&file).and_then(|mut out| out.write_all(text.as_bytes()));
         written.map_err(|e| format!("{}: {e}", file.display()))?;
         Ok(Self { address, file, child: None, verbose })
--- a/crates/lab/src/xds/mod.rs
+++ b/crates/lab/src/xds/mod.rs
@@ -1,21 +1,19 @@
 //! The proof of the control service: real sockets, the real program as a process of its own, stand-in proxies, caches and
 //! change log, faults drawn from a seed.
 
-mod link;
 mod proxy;
 mod rogues;
-pub mod service;
 
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::hosts::Host;
 use crate::stand::ledger::{Ledger, Named, Percentiles, unix_ms};
+use crate::stand::link::Link;
 use crate::stand::process::Dispatcher;
+use crate::stand::service::Service;
 use crate::stand::{self, asker, line, process, watch};
-use link::Link;
 use myrtlegauge_control::exchange::Form;
 use proxy::{Fault, Proxy};
 use serde_json::{Value, json};
-use service::Service;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -136,7 +134,9 @@
     if plan.dispatcher {
         return beside(plan, ledger, log, hosts, proxies, seconds).await;
     }
-    let mut service = Service::new(log.address, plan.verbose, plan.drain_grace_ms)?;
+    let mut service = Service::new(plan.verbose, |address| {
+        process::operator_file(address, &log.address.to_string(), plan.verbose, plan.drain_grace_ms)
+    })?;
     service.start()?;
     service.wait_until_it_answers().await?;
     let alone = service.used();
--- a/crates/lab/src/xds/proxy.rs
+++ b/crates/lab/src/xds/proxy.rs
@@ -2,9 +2,9 @@
 //! follower chooses, and reports load. What it returns and how each GET ended goes to the ledger.
 
 use super::Without;
-use super::link::Link;
 use crate::stand::hosts::{read_words, words};
 use crate::stand::ledger::{Ledger, Named, unix_ms};
+use crate::stand::link::Link;
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::config::endpoint::v3 as endpoint;
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -419,7 +419,17 @@
         let kind = if host == self.world.origin() { 2 } else { usize::from(self.world.is_parent(host)) };
         let units = if kind == 0 { self.world.slots as f64 } else { self.world.slots as f64 * 4.0 };
         let mark = mark(&format!("host-{host}"));
-        Entry { host, mark, standing, started, zone: self.world.zone(host), cell: 0, kind, units }
+        Entry {
+            host,
+            mark,
+            standing,
+            started,
+            zone: self.world.zone(host),
+            cell: 0,
+            kind,
+            units,
+            held_back: 0.0,
+        }
     }
 
     /// Tells every router of a host, or of all.
@@ -497,6 +507,7 @@
             size_kb: size,
             viewer_timeout: kind.timeout,
             again: false,
+            over: false,
         };
         let asked =
             Asked { service, object, size, at: self.now, answered: false, given_up: false, router, place: 0 };
@@ -529,8 +540,7 @@
         let (object, service) = (asked.object, asked.service);
         let kind = &self.world.services[service];
         let key = key(object, PART);
-        let (random, informed) =
-            (self.world.brain == Brain::Random, self.world.brain == Brain::Informed);
+        let (random, informed) = (self.world.brain == Brain::Random, self.world.brain == Brain::Informed);
         let (first, second) =
             (self.chance.usize(0..self.world.caches), self.chance.usize(0..self.world.parents));
         let first_parent = self.world.locations * self.world.caches;
@@ -552,7 +562,9 @@
             if kind.non_idempotent { self.world.origin() } else { parent.unwrap_or(self.world.origin()) };
         let mut accepted_age = Duration::ZERO;
         if informed && !kind.non_idempotent {
-            let since = self.purged_since(object).max(self.purged.get(&(object % GROUPS)).copied().unwrap_or_default());
+            let since = self
+                .purged_since(object)
+                .max(self.purged.get(&(object % GROUPS)).copied().unwrap_or_default());
             let fresh = if kind.fresh.is_zero() { Duration::MAX } else { kind.fresh };
             let room = self.origin_gives_in_time(kind.objective);
             let now = self.now;
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -44,7 +44,9 @@
     }
 
     pub fn of(name: &str) -> Option<Self> {
-        [Brain::Module, Brain::Hashing, Brain::Random, Brain::Informed].into_iter().find(|brain| brain.name() == name)
+        [Brain::Module, Brain::Hashing, Brain::Random, Brain::Informed]
+            .into_iter()
+            .find(|brain| brain.name() == name)
     }
 }
 
--- a/crates/operator/src/file.rs
+++ b/crates/operator/src/file.rs
@@ -17,7 +17,18 @@
     titled: false,
     fields: &[
         field("log", Kind::Form(&LOG), Often::Maybe("text, info"), "what is logged to standard error"),
-        field("control", Kind::Form(&CONTROL), Often::Once, "the control service: decisions over xDS"),
+        field(
+            "control",
+            Kind::Form(&CONTROL),
+            Often::Maybe("no control service"),
+            "the control service: decisions over xDS",
+        ),
+        field(
+            "dispatcher",
+            Kind::Form(&DISPATCHER),
+            Often::Maybe("no dispatcher"),
+            "a dispatcher that follows control services",
+        ),
         field("footprint", Kind::Form(&FOOTPRINT), Often::Once, "places and machines around this service"),
         field(
             "delivery-service",
@@ -88,6 +99,43 @@
             "how often proxies report load and outcomes",
         ),
         field("most-proxies", Kind::Count, Often::Maybe("1000"), "streams held at once; more are refused"),
+        field(
+            "zones",
+            Kind::Form(&ZONES),
+            Often::Maybe("nothing is said of zones"),
+            "zones are left and come back to as a fleet",
+        ),
+    ],
+};
+
+static ZONES: Form = Form {
+    titled: false,
+    fields: &[
+        field("quorum", Kind::Share, Often::Maybe("60%"), "of those who ask a zone, who must find it dead"),
+        field("least-voters", Kind::Count, Often::Maybe("3"), "with fewer, nothing is left"),
+        field(
+            "hold",
+            Kind::Span,
+            Often::Maybe("3s"),
+            "how long a zone that was left rests before it is tried",
+        ),
+        field("tries", Kind::Count, Often::Maybe("3"), "steps back after which a return is given up"),
+    ],
+};
+
+static DISPATCHER: Form = Form {
+    titled: false,
+    fields: &[
+        field("name", Kind::Text, Often::Once, "its name, told to control services and in logs"),
+        field("listen", Kind::Address, Often::Once, "where fronts connect (FastCGI)"),
+        field("change-log", Kind::Address, Often::Once, "the change log of hosts and purges"),
+        field("follow", Kind::Address, Often::Any, "a control service whose verdicts on zones it follows"),
+        field("reports-every", Kind::Span, Often::Maybe("250ms"), "how often it tells them what it saw"),
+        field("memory", Kind::Count, Often::Maybe("192"), "megabytes that it may take"),
+        field("sockets", Kind::Count, Often::Maybe("1024"), "descriptors that it may hold"),
+        field("streams", Kind::Count, Often::Maybe("100"), "GETs at once on one connection to a host"),
+        field("connect-timeout", Kind::Span, Often::Maybe("400ms"), "time for a connection to a host"),
+        field("idle", Kind::Span, Often::Maybe("15s"), "after which hosts close a connection"),
     ],
 };
 
@@ -96,6 +144,7 @@
     fields: &[
         field("zone", Kind::Form(&ZONE), Often::AtLeastOnce, "a location, in the order of their numbers"),
         field("here", Kind::Text, Often::Once, "the zone whose caches are chosen"),
+        field("also", Kind::Text, Often::Any, "a further zone whose caches are chosen"),
         field("cache-kind", Kind::Text, Often::Maybe("\"standard\""), "how the list of hosts names a cache"),
         field("parent-kind", Kind::Text, Often::Maybe("\"parent\""), "the same for a parent"),
         field("origin-kind", Kind::Text, Often::Maybe("\"origin\""), "the same for the origin"),
@@ -119,12 +168,19 @@
         ),
         field("tick", Kind::Span, Often::Maybe("2ms"), "what times are rounded to"),
         field("forwards", Kind::Count, Often::Maybe("3"), "most forwards of one GET"),
+        field("dispatchers", Kind::Number, Often::Maybe("1"), "of this location, which share its hosts"),
+        field("fills-joined", Kind::Flag, Often::Maybe("yes"), "caches join fills of one object"),
+        field("fills-called-off", Kind::Flag, Often::Maybe("yes"), "a fill that nobody waits for ends"),
+        field("straight", Kind::Flag, Often::Maybe("no"), "GETs passed on go to the origin past all caches"),
     ],
 };
 
 static ZONE: Form = Form {
     titled: true,
-    fields: &[field("hub", Kind::Count, Often::Maybe("0"), "the number of the hub that it hangs from")],
+    fields: &[
+        field("hub", Kind::Count, Often::Maybe("0"), "the number of the hub that it hangs from"),
+        field("bears", Kind::Rate, Often::Maybe("not told"), "GETs that its caches bear when warm"),
+    ],
 };
 
 static START: Form = Form {
@@ -206,6 +262,38 @@
     pub clock_error: Duration,
     pub reports_every: Duration,
     pub most_proxies: usize,
+    pub zones: Option<ZoneTerms>,
+}
+
+/// When zones are left as a fleet, and tried again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneTerms {
+    pub quorum: f64,
+    pub least_voters: u32,
+    pub hold: Duration,
+    pub tries: u32,
+}
+
+/// A zone whose caches are chosen here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServedZone {
+    pub name: String,
+    /// Its place among the zones of the footprint.
+    pub number: usize,
+    /// GETs a second; zero: not told.
+    pub bears: f64,
+}
+
+/// A dispatcher of another installation as its operator tells of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DispatcherTerms {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub change_log: SocketAddr,
+    pub follow: Vec<SocketAddr>,
+    pub reports_every: Duration,
+    pub memory_mb: usize,
+    pub sockets: usize,
 }
 
 /// A host named in the file.
@@ -225,7 +313,10 @@
 pub struct OperatorFile {
     pub log_form: logs::Form,
     pub log_level: LevelFilter,
-    pub control: Control,
+    pub control: Option<Control>,
+    pub dispatcher: Option<DispatcherTerms>,
+    /// Zones whose caches are chosen here, in the order of their numbers.
+    pub zones: Vec<ServedZone>,
     /// Names of the delivery services, in order.
     pub services: Vec<String>,
     pub hosts: Vec<ListedHost>,
@@ -244,7 +335,12 @@
     pub fn of(file: &Checked, faults: &mut Vec<Fault>) -> Self {
         let none = Checked::default();
         let form = |name: &str| file.forms(name).next().unwrap_or(&none);
-        let (log, control, footprint) = (form("log"), form("control"), form("footprint"));
+        let (log, footprint) = (form("log"), form("footprint"));
+        let (control, dispatcher) = (file.forms("control").next(), file.forms("dispatcher").next());
+        if control.is_none() && dispatcher.is_none() {
+            let what = "the file lacks control, the control service, and dispatcher, one that follows it";
+            faults.push(Fault { at: file.at, what: what.into() });
+        }
         let services: Vec<_> = file.forms("delivery-service").collect();
         let kinds = ["cache", "parent", "origin"].map(|kind| {
             let else_named = if kind == "cache" { "standard" } else { kind };
@@ -255,9 +351,11 @@
         Self {
             log_form: log.text("form").and_then(logs::Form::named).unwrap_or_default(),
             log_level: log.text("level").and_then(|level| level.parse().ok()).unwrap_or(LevelFilter::Info),
-            control: read_control(control, faults),
+            control: control.map(|control| read_control(control, faults)),
+            dispatcher: dispatcher.map(|told| read_dispatcher(told, faults)),
+            zones: served(footprint, faults),
             services: services.iter().map(|service| service.title.clone()).collect(),
-            facts: facts(footprint, &kinds, &services, faults),
+            facts: facts(footprint, dispatcher.unwrap_or(&none), &kinds, &services, faults),
             hosts,
         }
     }
@@ -283,6 +381,12 @@
         clock_error: span("clock-error", 10),
         reports_every: span("reports-every", 500),
         most_proxies: control.count("most-proxies").unwrap_or(1000) as usize,
+        zones: control.forms("zones").next().map(|zones| ZoneTerms {
+            quorum: zones.number("quorum").unwrap_or(0.6),
+            least_voters: zones.count("least-voters").unwrap_or(3) as u32,
+            hold: zones.span("hold").unwrap_or(Duration::from_secs(3)),
+            tries: zones.count("tries").unwrap_or(3) as u32,
+        }),
     };
     let mut refuse =
         |name: &str, what: &str| faults.push(Fault { at: control.place(name), what: what.into() });
@@ -304,9 +408,57 @@
     if read.most_proxies == 0 {
         refuse("most-proxies", "most-proxies is zero");
     }
+    if read.zones.is_some_and(|zones| zones.quorum <= 0.5) {
+        refuse("zones", "quorum is half or less: two halves could say otherwise of one zone");
+    }
     read
 }
 
+fn read_dispatcher(told: &Checked, faults: &mut Vec<Fault>) -> DispatcherTerms {
+    let count = |name: &str, without: u64| told.count(name).unwrap_or(without) as usize;
+    let read = DispatcherTerms {
+        name: told.text("name").unwrap_or_default().to_owned(),
+        listen: told.address("listen").unwrap_or(NOWHERE),
+        change_log: told.address("change-log").unwrap_or(NOWHERE),
+        follow: told.addresses("follow").collect(),
+        reports_every: told.span("reports-every").unwrap_or(Duration::from_millis(250)),
+        memory_mb: count("memory", 192),
+        sockets: count("sockets", 1024),
+    };
+    let mut refuse = |name: &str, what: &str| faults.push(Fault { at: told.place(name), what: what.into() });
+    if read.reports_every < Duration::from_millis(10) {
+        refuse("reports-every", "reports-every is under 10ms");
+    }
+    if read.memory_mb < 32 {
+        refuse("memory", "memory is under 32 megabytes");
+    }
+    if read.sockets < 64 {
+        refuse("sockets", "sockets are under 64");
+    }
+    read
+}
+
+/// The zones whose caches are chosen: here, and those named beside it.
+fn served(footprint: &Checked, faults: &mut Vec<Fault>) -> Vec<ServedZone> {
+    let here = footprint.text("here").into_iter();
+    let also: Vec<_> = footprint.texts("also").collect();
+    let zones: Vec<_> = footprint.forms("zone").collect();
+    for name in &also {
+        if !zones.iter().any(|zone| zone.title == **name) {
+            let what = format!("also {name:?} is not a zone of the footprint");
+            faults.push(Fault { at: footprint.place("also"), what });
+        }
+    }
+    let named: Vec<_> = here.chain(also).collect();
+    let served = zones.iter().enumerate().filter(|(_, zone)| named.contains(&zone.title.as_str()));
+    let read = served.map(|(number, zone)| ServedZone {
+        name: zone.title.clone(),
+        number,
+        bears: zone.number("bears").unwrap_or(0.0),
+    });
+    read.collect()
+}
+
 fn hosts(
     file: &Checked,
     footprint: &Checked,
@@ -345,6 +497,7 @@
 /// The settings of the decision module, under the names by which it reads them.
 fn facts(
     footprint: &Checked,
+    dispatcher: &Checked,
     kinds: &[String; 3],
     services: &[&Checked],
     faults: &mut Vec<Fault>,
@@ -379,9 +532,10 @@
             "group": service.text("token-group").unwrap_or("cell")})
     });
     let spans = |name: &str| per(&|service| ms(service.span(name).unwrap_or_default()).into());
+    let dispatchers = footprint.number("dispatchers").unwrap_or(1.0);
     let mut by_zone = vec![json!(0); zones.len()];
     if let Some(count) = by_zone.get_mut(my_zone) {
-        *count = json!(1);
+        *count = json!(dispatchers);
     }
     let mut feeds = vec![json!(0.0); zones.len()];
     if let (Some(feed), Some(pace)) = (feeds.get_mut(my_zone), footprint.number("link-pace")) {
@@ -389,7 +543,8 @@
     }
     let parents = footprint.flag("parents").unwrap_or(true);
     let mut domain = json!({
-        "count_by_zone": by_zone, "feed_kb_per_s": feeds, "shares_fills": true, "pass_through_ok": false,
+        "count_by_zone": by_zone, "feed_kb_per_s": feeds, "shares_fills": footprint.flag("fills-joined").unwrap_or(true),
+        "pass_through_ok": footprint.flag("straight").unwrap_or(false),
         "hub_of": zones.iter().map(|zone| zone.count("hub").unwrap_or(0)).collect::<Vec<_>>(),
         "shield_kind": if parents { 1 } else { -1 }, "master_kind": 2, "note_level": "all",
         "flow_kb_per_s": footprint.number("transfer-pace").unwrap_or(0.0),
@@ -403,11 +558,15 @@
         domain["origin_rate_per_s"] = json!(rate);
     }
     let facts = json!({
-        "balancers": footprint.number("instances").unwrap_or(1.0), "my_zone": my_zone, "discovery": "pushed",
+        "balancers": footprint.number("instances").unwrap_or(1.0).max(dispatchers), "my_zone": my_zone,
+        "serves": served(footprint, &mut Vec::new()).iter().map(|zone| zone.number).collect::<Vec<_>>(), "discovery": "pushed",
         "weights": "rough", "resolution_ms": ms(footprint.span("tick").unwrap_or(Duration::from_millis(2))),
         "zones": zones.iter().map(|zone| zone.title.as_str()).collect::<Vec<_>>(), "kinds": kinds,
         "classes": classes, "domain": domain,
-        "limits": {"cancel": true, "retry_after": true, "max_retry_after_ms": 2000.0,
+        "limits": {"cancel": footprint.flag("fills-called-off").unwrap_or(true),
+            "streams_per_conn": dispatcher.count("streams").unwrap_or(100),
+            "connect_timeout_ms": ms(dispatcher.span("connect-timeout").unwrap_or(Duration::from_millis(400))),
+            "conn_idle_ms": ms(dispatcher.span("idle").unwrap_or(Duration::from_secs(15))), "retry_after": true, "max_retry_after_ms": 2000.0,
             "max_attempts": footprint.count("forwards").unwrap_or(3)},
         "obligations": {"start_capacity": cache.number("share").unwrap_or(1.0), "warm_within_ms": long(cache),
             "fall_multiple": falls_at(cache), "fall_ms": ms(cache.span("falls-in").unwrap_or(Duration::from_secs(1)))},
--- a/crates/operator/src/form.rs
+++ b/crates/operator/src/form.rs
@@ -244,6 +244,19 @@
         if let Value::Address(address) = self.find(name)? { Some(*address) } else { None }
     }
 
+    /// All texts, or addresses, that stand behind a name.
+    pub fn texts(&self, name: &str) -> impl Iterator<Item = &str> {
+        let values = self.values.iter().filter(move |(known, ..)| *known == name);
+        values
+            .filter_map(|(.., value)| if let Value::Text(text) = value { Some(text.as_str()) } else { None })
+    }
+
+    pub fn addresses(&self, name: &str) -> impl Iterator<Item = SocketAddr> {
+        let values = self.values.iter().filter(move |(known, ..)| *known == name);
+        values
+            .filter_map(|(.., value)| if let Value::Address(address) = value { Some(*address) } else { None })
+    }
+
     pub fn count(&self, name: &str) -> Option<u64> {
         if let Value::Count(count) = self.find(name)? { Some(*count) } else { None }
     }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -45,6 +45,26 @@
     insta::assert_snapshot!(faults(&text));
 }
 
+const ZONES: &str = include_str!("../../../deploy/zones-control.sexp");
+const FOLLOWS: &str = include_str!("../../../deploy/zones-dispatcher.sexp");
+
+#[test]
+fn zones_and_dispatchers_are_told_whole_and_their_faults_by_place() {
+    let file = read(ZONES).expect("the example has no fault");
+    let names: Vec<_> = file.zones.iter().map(|zone| (zone.name.as_str(), zone.number, zone.bears)).collect();
+    assert_eq!(names, [("edge-a", 1, 4000.0), ("edge-b", 2, 4000.0), ("edge-c", 3, 4000.0)]);
+    assert!(file.control.is_some_and(|control| control.zones.is_some()) && file.dispatcher.is_none());
+    let file = read(FOLLOWS).expect("the example has no fault");
+    assert!(file.control.is_none() && file.dispatcher.is_some_and(|told| told.follow.len() == 1));
+    let broken = ZONES
+        .replace("(quorum 60%)", "(quorum 50%)")
+        .replace("(also \"edge-b\")", "(also \"edge-x\")")
+        .replace("(bears 4000/s))\n  (zone \"edge-c\"", "(bears many))\n  (zone \"edge-c\"");
+    let neither = FOLLOWS.replace("(dispatcher", "(dispatchr").replace("(sockets 1024)", "(sockets 7)");
+    let little = FOLLOWS.replace("(sockets 1024)", "(sockets 7)").replace("(memory 192)", "(memory 8)");
+    insta::assert_snapshot!([broken, neither, little].map(|text| faults(&text)).join("\n"));
+}
+
 #[test]
 fn all_that_may_be_said_is_explained() {
     let mut text = String::new();
--- a/crates/wire/src/places.rs
+++ b/crates/wire/src/places.rs
@@ -34,6 +34,11 @@
         (index, true)
     }
 
+    /// The index of a host that is known by this name.
+    pub fn known(&self, name: &str) -> Option<HostIndex> {
+        self.indices.get(name).copied()
+    }
+
     /// Gives the index of a host back.
     pub fn forget(&mut self, name: &[u8]) {
         let index = std::str::from_utf8(name).ok().and_then(|name| self.indices.remove(name));
@@ -65,6 +70,7 @@
             cell: told.group.unwrap_or(known.cell),
             kind: kind.unwrap_or(known.kind),
             units: told.weight.unwrap_or(known.units),
+            held_back: 0.0,
         };
         (entry, fault)
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -324,7 +324,8 @@
         let start = self.start(entry);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
         let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
-        cold.then_some(reading::stepped(start.from + (1.0 - start.from) * age))
+        let part = if cold { reading::stepped(start.from + (1.0 - start.from) * age) } else { 1.0 };
+        Some(part.min(1.0 - entry.held_back)).filter(|&part| part < 1.0)
     }
 
     /// Cold-start budget, also of a host lost and found again: a fixed part of the keys, the same at every
@@ -504,7 +505,8 @@
         let ds = &r.services[get.ds];
         let write = ds.write;
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        let hopeless = left.is_zero() || get.size_kb > 0.0 && left.as_secs_f64() < sending;
+        let late = get.size_kb > 0.0 && left.as_secs_f64() < sending;
+        let hopeless = left.is_zero() || late || get.over && !write;
         if hopeless || hops >= r.site.most_forwards.min(MOST_FORWARDS) {
             return self.give_up(place);
         }
@@ -725,9 +727,7 @@
 
     /// What followers saw of a host, as one outcome; of it no more than its own last few count.
     pub fn reported(&mut self, host: HostIndex, success: bool) {
-        if let Some(h) = self.r.hosts.get_mut(host) {
-            h.judge(self.now, success);
-        }
+        self.r.hosts.get_mut(host).into_iter().for_each(|h| h.judge(self.now, success));
     }
 
     /// What followers told of a service's fills from one source: all, the late or failed among them, and those out.
@@ -753,7 +753,7 @@
         }
         for entry in entries {
             // What happens to caches elsewhere changes no ring here.
-            laid |= r.parental(entry) || entry.zone == r.site.zone || entry.kind == r.site.origin_kind;
+            laid |= r.parental(entry) || r.site.serves(entry.zone) || entry.kind == r.site.origin_kind;
             r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
             let sharers = if r.parental(entry) { r.site.parent_start.routers } else { r.site.routers };
             let h = &mut r.hosts[entry.host];
@@ -767,7 +767,7 @@
             h.fills.begin(sharers, r.chance.f64(), self.now);
         }
         if laid {
-            r.caches = r.ring(|r, e| e.zone == r.site.zone && !r.parental(e) && e.kind != r.site.origin_kind);
+            r.caches = r.ring(|r, e| r.site.serves(e.zone) && !r.parental(e) && e.kind != r.site.origin_kind);
             r.parents = r.ring(Router::parental);
             r.origin = r.hosts.iter().position(|h| h.on() && h.entry.kind == r.site.origin_kind);
         }
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -35,6 +35,8 @@
 
 pub struct Footprint {
     pub zone: usize,
+    /// Zones whose caches are chosen from here.
+    serves: Vec<usize>,
     pub hub_of: Vec<usize>,
     pub parent_kind: Option<usize>,
     pub origin_kind: usize,
@@ -92,6 +94,11 @@
 }
 
 impl Footprint {
+    /// Whether the caches of a zone are chosen from here.
+    pub fn serves(&self, zone: usize) -> bool {
+        self.serves.contains(&zone)
+    }
+
     pub fn read(told: &Values) -> Result<Self, String> {
         let places = |name: &str| -> Vec<usize> {
             let values = list(told, name).unwrap_or_default();
@@ -106,8 +113,10 @@
         let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
         let flow = above_zero(told, "domain.flow_kb_per_s")?;
         let heard = flag(told, "limits.retry_after");
+        let serves = Some(places("serves")).filter(|serves| !serves.is_empty());
         Ok(Self {
             zone,
+            serves: serves.unwrap_or_else(|| vec![zone]),
             parent_kind: Some(number(told, "domain.shield_kind")?).filter(|&k| k >= 0.0).map(|k| k as usize),
             origin_kind: number(told, "domain.master_kind")? as usize,
             routers,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,6 +21,8 @@
     pub viewer_timeout: Duration,
     /// Its client marked it as a try after the first.
     pub again: bool,
+    /// Of the part of keys that its fleet sheds, since what remains of its zones does not bear them.
+    pub over: bool,
 }
 
 /// How a forward ended.
@@ -105,6 +107,8 @@
     pub cell: u64,
     pub kind: usize,
     pub units: f64,
+    /// Part of its keys, from 0 to 1, that its fleet holds back from it: a zone that comes back in steps.
+    pub held_back: f64,
 }
 
 /// The number of a host for its id, the same at every router: FNV-1a.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,7 +49,17 @@
         _ => (0, 1, 4.0),
     };
     let mark = 0x9e37_79b9 * (host as u64 + 1);
-    Entry { host, mark, standing: Standing::On, started: Duration::ZERO, zone, cell: 0, kind, units }
+    Entry {
+        host,
+        mark,
+        standing: Standing::On,
+        started: Duration::ZERO,
+        zone,
+        cell: 0,
+        kind,
+        units,
+        held_back: 0.0,
+    }
 }
 
 /// Prints each decision on a line of its own.
@@ -233,6 +243,7 @@
         .to_string();
         let turns = EventLoop::try_new().unwrap();
         let posting = Posting {
+            zones: None,
             listen: ([127, 0, 0, 1], 0).into(),
             changelog: changelog.address,
             known: serde_json::from_str(&known).unwrap(),
