--- a/crates/comeback/src/pace.rs
+++ b/crates/comeback/src/pace.rs
@@ -15,14 +15,14 @@
 const LEAST: (f64, f64) = (4.0, 0.05);
 /// What is added for each router at first, over the square of their count: the fewer there are, the more each sees of
 /// what its fills do to the source.
-const FIRST_FEW: f64 = 24.0;
+const FIRST_FEW: f64 = 60.0;
 /// Fills that all together add in the time that a fill takes, once the bound was cut.
-const RISE: f64 = 16.0;
+const RISE: f64 = 32.0;
 /// Parts of its objective that a fill may wait from which the bound rises no more, and over which it is cut: where many
 /// share a source, with room for what all of them ask for before any of them hears of it, and for the rest of the way; and
 /// what is added to them, over the count of routers, for the fewer there are the sooner a cut is felt.
-const EASY: (f64, f64) = (0.25, 1.2);
-const PRESSED: (f64, f64) = (0.4, 1.6);
+const EASY: (f64, f64) = (0.25, 3.0);
+const PRESSED: (f64, f64) = (0.4, 4.0);
 /// Of the objective that is left beside the way and work of a fill that waits for nobody, the parts that it may wait beyond
 /// them: where a source is far, or works long, the marks above would be passed with no fill in the queue.
 const EASY_MORE: f64 = 0.1;
