--- a/crates/comeback/src/lib.rs
+++ b/crates/comeback/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod ease;
 pub mod pace;
 pub mod record;
+pub mod times;
 
 pub use again::Again;
 pub use budget::Budget;
 pub use ease::Ease;
 pub use pace::{Filled, Pace};
 pub use record::{HELD, Held, Record};
+pub use times::Times;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
 use crate::interface::*;
-use crate::reading::{self, Reading, Share, Terms};
+use crate::reading;
 use crate::ring::{Memory, Ring, Window};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
 use myrtlegauge_comeback::bits::{marked, mix};
@@ -47,7 +47,7 @@
 /// times the expected time that a host may be silent: half as fast as thought is not dead.
 const PATIENT: f64 = 2.0;
 /// forwards for one GET; a third failure says that the trouble is not one host's.
-const MOST_FORWARDS: u32 = 3;
+pub(crate) const MOST_FORWARDS: u32 = 3;
 /// share of what pushes a cold host over: a burst and what drains meanwhile make twice it in one span.
 const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
@@ -60,9 +60,6 @@
 const JAMMED: f64 = 0.4;
 /// ms; over which what this router has out at a cache is taken as what each other one has there.
 const MEAN_OVER: Duration = Duration::from_millis(1000);
-/// weight of a fill of mean size in its source's pace, and s in which that is half forgotten.
-const PACE_BLEND: f64 = 0.2;
-const PACE_HALVES: f64 = 2.0;
 /// transfers; least room learnt: under one, for a host may slow many times while nothing else is out there.
 const LEAST_ROOM: f64 = 0.1;
 /// weight of a transfer at full pace beyond the learnt room: low, for room is lost faster than it is had.
@@ -73,6 +70,8 @@
 const SENDING_FIRST: f64 = 0.25;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
+/// weight of a probable fill in the part of them that comes to the origin: one in twenty does, in some fifty each shows.
+const REACHES_BLEND: f64 = 0.02;
 /// part of the time left that a fill may wait for its turn, for what comes after it may take longer than thought.
 const TURN_PART: f64 = 0.3;
 /// ms; a copy returned so lately is taken to be held still: under what caches keep unused.
@@ -83,17 +82,17 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 
 pub struct Router {
-    site: Footprint,
-    services: Vec<DeliveryService>,
-    learnt: Vec<Learnt>,
+    pub(crate) site: Footprint,
+    pub(crate) services: Vec<DeliveryService>,
+    pub(crate) learnt: Vec<Learnt>,
     chance: fastrand::Rng,
-    hosts: Vec<Host>,
+    pub(crate) hosts: Vec<Host>,
     gets: Slab<InHand>,
-    caches: Ring,
-    parents: Ring,
-    origin: Option<HostIndex>,
+    pub(crate) caches: Ring,
+    pub(crate) parents: Ring,
+    pub(crate) origin: Option<HostIndex>,
     fills: Window<SLOTS>,
-    busy: bool,
+    pub(crate) busy: bool,
     /// By object or group, when it was purged.
     purges: BTreeMap<Purged, Duration>,
     /// Purges of about then may not have been told here: as if all had been purged.
@@ -111,6 +110,8 @@
     /// GETs whose fills wait for their turn.
     waiting: Vec<Place>,
     again: Again,
+    /// Part of the probable fills from parents that these had to ask the origin for.
+    reaches: f64,
     /// When to ask to follow the list; never where it comes unasked.
     follow_at: Duration,
 }
@@ -152,34 +153,21 @@
         self.entry.standing == Standing::On
     }
 
-    fn failed(&self) -> bool {
+    pub(crate) fn failed(&self) -> bool {
         marked(self.failures, FEW) > FEW / 2
     }
 
-    /// What a fill of a sending time takes from there, s, or a hit, by its wait and pace as seen lately.
-    fn time_for(&self, sending: f64, now: Duration) -> f64 {
-        let lately = 0.5f64.powf(now.saturating_sub(self.filled_at).as_secs_f64() / PACE_HALVES);
-        self.wait * lately + sending * (1.0 + (self.pace - 1.0).max(0.0) * lately)
-    }
-
-    /// Learns from a fill's or a hit's time, that of one not yet done included.
-    fn learn_time(&mut self, spent: f64, wait: f64, sending: f64, now: Duration) {
-        let waited = self.time_for(0.0, now);
-        let pace = self.time_for(1.0, now) - waited;
-        let weight = (PACE_BLEND * sending / self.pace_sending.max(sending)).min(1.0);
-        self.pace_sending =
-            if self.pace_sending > 0.0 { blended(self.pace_sending, sending, BLEND) } else { sending };
-        self.pace = blended(pace, (spent - wait).max(0.0) / sending.max(1e-3), weight);
-        (self.wait, self.filled_at) = (blended(waited, wait, PACE_BLEND), now);
-    }
-
     /// Open to GETs; a failed host, after its rest, to one trial at a time. A silent one, with a forward due
     /// and no answer since, is passed by; what is out there stays, for a fill may run on and be paid twice.
-    fn usable(&self, now: Duration) -> bool {
+    pub(crate) fn usable(&self, now: Duration) -> bool {
         let silent = self.crowd.out > 0.0 && now >= self.due;
         self.on() && !silent && (!self.failed() || now >= self.rests_until && self.crowd.out == 0.0)
     }
 
+    fn filled(&mut self, told: &Filled, now: Duration) -> bool {
+        self.fills.ended(self.fills_out, told, now)
+    }
+
     fn answered(&mut self, now: Duration) {
         (self.last_answer, self.due) = (now, Duration::MAX);
     }
@@ -231,6 +219,7 @@
             waking: false,
             waiting: Vec::new(),
             again: Again::default(),
+            reaches: 0.0,
         })
     }
 
@@ -270,32 +259,6 @@
         }
     }
 
-    /// What this router decides now of hosts and services, for those who take GETs elsewhere. A failed host's trial
-    /// is the part of its keys that a host gets which has just started: a follower can't send just one GET.
-    pub fn reading(&self, now: Duration) -> Reading {
-        let share = |(host, points): (HostIndex, u64)| {
-            let h = &self.hosts[host];
-            let (near, parental) = (self.near(&h.entry), self.parental(&h.entry));
-            let warmth = if h.failed() { Some(self.start(&h.entry).from) } else { self.warmth(host, now) };
-            let takes = h.usable(now) && (warmth.is_none() || near || !parental);
-            let part = if takes { warmth.unwrap_or(1.0) } else { 0.0 };
-            Share { host, mark: h.entry.mark, points, part, near: near || !parental, fills: h.fills.limit() }
-        };
-        let terms = self.services.iter().zip(&self.learnt).map(|(ds, learnt)| Terms {
-            accepted_age: if ds.write { ZERO } else { learnt.accepted_age },
-            renew: !self.busy && !ds.write,
-            again: ds.idempotent,
-        });
-        Reading {
-            terms: terms.collect(),
-            caches: self.caches.parts().map(share).collect(),
-            parents: self.parents.parts().map(share).collect(),
-            origin: self.origin.map(|host| share((host, 0))),
-            spared: self.busy && self.site.notes,
-            forwards: self.site.most_forwards.min(MOST_FORWARDS),
-        }
-    }
-
     /// Lays a ring of the hosts that are on, points by weight.
     fn ring(&self, holds: impl Fn(&Self, &Entry) -> bool) -> Ring {
         let (mut ring, hosts) = (Ring::default(), &self.hosts);
@@ -306,20 +269,20 @@
         ring
     }
 
-    fn parental(&self, entry: &Entry) -> bool {
+    pub(crate) fn parental(&self, entry: &Entry) -> bool {
         Some(entry.kind) == self.site.parent_kind
     }
 
-    fn near(&self, entry: &Entry) -> bool {
+    pub(crate) fn near(&self, entry: &Entry) -> bool {
         self.site.hub_of.get(entry.zone) == self.site.hub_of.get(self.site.zone)
     }
 
-    fn start(&self, entry: &Entry) -> &ColdStart {
+    pub(crate) fn start(&self, entry: &Entry) -> &ColdStart {
         if self.parental(entry) { &self.site.parent_start } else { &self.site.cache_start }
     }
 
     /// Share of its full work that a host which started lately may get; none of a warm one.
-    fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
+    pub(crate) fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
         let (entry, since) = (&self.hosts[host].entry, self.hosts[host].began());
         let start = self.start(entry);
         let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
@@ -400,10 +363,13 @@
         let InHand { get, key, tried: [_, tried], sending, goes, .. } = self.gets[place];
         let work = self.learnt[get.ds].sending;
         let ring = std::mem::take(&mut self.parents);
+        let paced = |h: &Host| h.fills.has_room(h.fills_out, now);
+        let (origin, open) =
+            (self.origin, self.reaches == 0.0 || self.origin.is_none_or(|o| paced(&self.hosts[o])));
         let room = |h: &Host| {
-            let paced =
-                goes.is_some_and(|(host, _)| host == h.entry.host) || h.fills.has_room(h.fills_out, now);
-            !fill || paced && h.time_for(sending, now) <= within
+            let turn = goes.is_some_and(|(host, _)| host == h.entry.host);
+            let paced = turn || paced(h) && (open || origin == Some(h.entry.host));
+            !fill || paced && h.times.of(sending, now) <= within
         };
         let (mut full, mut listed) = (None, None);
         let mut fit = |near: bool| {
@@ -425,25 +391,38 @@
         })
     }
 
+    /// The origin, where a host's own sources ask it: its bound is on all that comes to it, by whatever way. Guards an origin
+    /// behind many parents, of each of which a router sees too little; it hurts what a parent holds while that is full.
+    fn behind(&self, source: HostIndex) -> Option<HostIndex> {
+        self.origin.filter(|&origin| origin != source && self.reaches > 0.0)
+    }
+
     /// Has a fill wait for its turn at the ring's parent, else the origin, if it is in time then; none: its bound there is
     /// no matter of time. Guards GETs that come unevenly; it hurts by late fills where the source slows meanwhile.
     fn waits(&mut self, place: Place, within: f64, now: Duration) -> Option<bool> {
         let InHand { key, sending, goes, .. } = self.gets[place];
         let near =
             self.parents.walk(key).find(|&h| self.near(&self.hosts[h].entry) && self.hosts[h].usable(now));
+        let by_turns = |h: HostIndex| self.hosts[h].fills.limit() < 1.0;
         let host = near.or(self.origin).filter(|_| goes.is_none())?;
-        let h = &mut self.hosts[host];
-        let at = h.fills.opens_at(now)?;
+        (by_turns(host) || self.behind(host).is_some_and(by_turns)).then_some(())?;
+        let opens = |h: HostIndex| self.hosts[h].fills.opens_at(self.hosts[h].fills_out, now);
+        let at = opens(host)?.max(self.behind(host).map_or(Some(now), opens)?);
         let wait = (at - now).as_secs_f64();
-        let in_time = wait <= within * TURN_PART && wait + h.time_for(sending, now) <= within;
+        let in_time = wait <= within * TURN_PART && wait + self.hosts[host].times.of(sending, now) <= within;
         if in_time {
-            h.fills.sent(now);
+            self.sent_to(host, now);
             self.gets[place].goes = Some((host, at));
             self.waiting.push(place);
         }
         Some(in_time)
     }
 
+    fn sent_to(&mut self, source: HostIndex, now: Duration) {
+        self.hosts[source].fills.sent(1.0, now);
+        self.behind(source).into_iter().for_each(|o| self.hosts[o].fills.sent(self.reaches, now));
+    }
+
     /// Ranks an object seen again over one seen once, so that a scan can't push out what is wanted.
     fn rank(&mut self, key: u64) -> u8 {
         if self.seen.get(key).is_none() {
@@ -564,19 +543,20 @@
         let h = &mut r.hosts[host];
         h.due = if h.crowd.out > 0.0 { h.due.min(overdue) } else { overdue };
         h.crowd.out += 1.0;
-        let g = &mut r.gets[place];
-        let turn = g.goes.take();
-        g.out = Some(Sent { hop: hops, to: forward, at: now, overdue, fill, slowness, withdrawn: false });
-        let fills = f64::from(u8::from(fill));
+        let (fills, turn, withdrawn) = (f64::from(u8::from(fill)), r.gets[place].goes.take(), false);
+        let behind = r.behind(forward.source).filter(|_| fill && !held_only);
+        let (reaches, hop, to, at) = (behind.map_or(0.0, |_| r.reaches), hops, forward, now);
+        r.gets[place].out = Some(Sent { hop, to, at, overdue, fill, reaches, slowness, withdrawn });
+        r.gets[place].hops += 1;
         if fill {
             r.hosts[forward.source].fills_out += fills;
+            behind.into_iter().for_each(|origin| r.hosts[origin].fills_out += reaches);
             if turn.is_none() && !held_only {
-                r.hosts[forward.source].fills.sent(now);
+                r.sent_to(forward.source, now);
             }
             r.again.filled(get.again);
         }
         r.link.out += fills;
-        g.hops += 1;
         self.out.forward(place, &forward);
     }
 
@@ -662,14 +642,25 @@
             _ => {}
         }
         let (ds, spent) = (&r.services[get.ds], o.spent.as_secs_f64());
-        if ds.write {
-            return;
-        }
         let (returned, wait) = (o.end == End::Returned, o.source_wait.as_secs_f64());
         let in_time = spent <= ds.objective + ds.stretch * sending;
+        let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
         let filled = matches!(o.note, Note::Filled | Note::FilledFromOrigin | Note::Joined);
+        let came = returned && (filled || ds.write);
+        let waited = (came && r.site.notes).then_some(wait);
+        let told = Filled { in_time: in_time && came, waited, objective: ds.objective, took: o.spent };
+        if ds.write {
+            // What runs at the origin tells how long it takes there.
+            let tells = r.site.notes && (returned || cut_short && !in_time);
+            if let Some(origin) = r.origin.filter(|&origin| tells && origin == sent.to.source) {
+                r.hosts[origin].filled(&told, now);
+            }
+            return;
+        }
         let fills = f64::from(u8::from(sent.fill));
         r.hosts[sent.to.source].fills_out -= fills;
+        let origin = r.origin.unwrap_or(sent.to.source);
+        r.hosts[origin].fills_out -= sent.reaches;
         r.link.out -= fills;
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
         let tells = r.site.link == 0.0 && (r.site.notes || sending > ds.objective * LONG);
@@ -677,20 +668,28 @@
             let pace = sending / (spent - wait).max(1e-3);
             r.link.learn(r.site.neighbours, pace, if r.site.notes { CROWDED } else { JAMMED });
         }
-        let cut_short = matches!(o.end, End::TimedOut | End::Withdrawn);
         // What its client or host broke off early tells nothing of a source.
         let failed = sent.fill && (source_failed || cut_short && !in_time);
         let unfinished = sent.fill && cut_short && r.hosts[sent.to.host].last_answer > sent.at;
         let hit = matches!(o.note, Note::Hit | Note::Stale);
         if (filled || hit) && returned || unfinished {
-            r.hosts[if hit { sent.to.host } else { sent.to.source }].learn_time(spent, wait, sending, now);
+            r.hosts[if hit { sent.to.host } else { sent.to.source }].times.learn(spent, wait, sending, now);
         }
         let mut pressed = false;
+        if sent.fill && returned && r.site.notes && Some(sent.to.source) != r.origin {
+            let asked = f64::from(u8::from(o.note == Note::FilledFromOrigin));
+            r.reaches = blended(r.reaches, asked, REACHES_BLEND);
+        }
         if !sent.to.held_only && (filled && returned || failed) {
-            let source = &mut r.hosts[sent.to.source];
-            let waited = (r.site.notes && filled).then_some(wait / ds.objective);
-            let told = Filled { in_time: in_time && filled, waited, took: o.spent };
-            pressed = source.fills.ended(source.fills_out, &told, now);
+            // What a parent had to ask the origin for tells of the origin; what was cut short, of either.
+            let asked = matches!(o.note, Note::FilledFromOrigin | Note::OriginFailed);
+            let origin = r.origin.filter(|&origin| r.site.notes && origin != sent.to.source);
+            if let Some(origin) = origin.filter(|_| asked || unfinished) {
+                pressed = r.hosts[origin].filled(&told, now);
+            }
+            if origin.is_none() || !asked {
+                pressed |= r.hosts[sent.to.source].filled(&told, now);
+            }
         }
         let (learnt, h) = (&mut r.learnt[get.ds], &mut r.hosts[sent.to.host]);
         if returned {
@@ -736,8 +735,8 @@
         let Some(h) = r.hosts.get_mut(source).filter(|_| ds < r.services.len()) else { return };
         h.fills_out = f64::from(out);
         if all > 0 {
-            let told = Filled { in_time: bad * 2 <= all, waited: None, took: ZERO };
-            h.fills.ended(h.fills_out, &told, self.now);
+            let told = Filled { in_time: bad * 2 <= all, waited: None, objective: 1.0, took: ZERO };
+            h.filled(&told, self.now);
         }
         r.fills.count(if Some(source) == r.origin { all } else { bad }, bad);
         r.missed(ds, all);
@@ -764,7 +763,8 @@
                 (h.failures, h.trials, h.crowd.room, h.cold_since, h.fills) = Default::default();
             }
             h.entry = *entry;
-            h.fills.begin(sharers, r.chance.f64(), self.now);
+            let others = entry.kind == r.site.origin_kind && r.site.notes;
+            h.fills.begin(sharers, others, r.chance.f64(), self.now);
         }
         if laid {
             r.caches = r.ring(|r, e| r.site.serves(e.zone) && !r.parental(e) && e.kind != r.site.origin_kind);
@@ -806,10 +806,10 @@
             r.carried = blended(r.carried, rate, SWEEP.div_duration_f64(WINDOW));
         }
         r.link.pass();
-        let best = r.caches.members().map(|c| r.hosts[c].time_for(1.0, now)).fold(f64::INFINITY, f64::min);
+        let best = r.caches.members().map(|c| r.hosts[c].times.of(1.0, now)).fold(f64::INFINITY, f64::min);
         for cache in r.caches.members() {
             r.hosts[cache].crowd.pass();
-            r.hosts[cache].crowd.drag = r.hosts[cache].time_for(1.0, now) / best;
+            r.hosts[cache].crowd.drag = r.hosts[cache].times.of(1.0, now) / best;
         }
     }
 
--- a/src/reading.rs
+++ b/src/reading.rs
@@ -1,6 +1,7 @@
 //! What a router decides at a moment, in a form that those can follow who take GETs elsewhere: proxies of a control
 //! service. The rules by which a key finds its host stand here once, for the decision module and for its followers.
 
+use crate::decide::{MOST_FORWARDS, Router};
 use crate::interface::HostIndex;
 use crate::ring::Ring;
 use myrtlegauge_comeback::bits::{mix, place};
@@ -133,3 +134,31 @@
         of(true).chain(of(false))
     }
 }
+
+impl Router {
+    /// What this router decides now of hosts and services, for those who take GETs elsewhere. A failed host's trial
+    /// is the part of its keys that a host gets which has just started: a follower can't send just one GET.
+    pub fn reading(&self, now: Duration) -> Reading {
+        let share = |(host, points): (HostIndex, u64)| {
+            let h = &self.hosts[host];
+            let (near, parental) = (self.near(&h.entry), self.parental(&h.entry));
+            let warmth = if h.failed() { Some(self.start(&h.entry).from) } else { self.warmth(host, now) };
+            let takes = h.usable(now) && (warmth.is_none() || near || !parental);
+            let part = if takes { warmth.unwrap_or(1.0) } else { 0.0 };
+            Share { host, mark: h.entry.mark, points, part, near: near || !parental, fills: h.fills.limit() }
+        };
+        let terms = self.services.iter().zip(&self.learnt).map(|(ds, learnt)| Terms {
+            accepted_age: if ds.write { Duration::ZERO } else { learnt.accepted_age },
+            renew: !self.busy && !ds.write,
+            again: ds.idempotent,
+        });
+        Reading {
+            terms: terms.collect(),
+            caches: self.caches.parts().map(share).collect(),
+            parents: self.parents.parts().map(share).collect(),
+            origin: self.origin.map(|host| share((host, 0))),
+            spared: self.busy && self.site.notes,
+            forwards: self.site.most_forwards.min(MOST_FORWARDS),
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a router remembers of hosts and of GETs in hand: plain records.
 
 use crate::interface::{Entry, Forward, Get, HostIndex};
-use myrtlegauge_comeback::{Budget, Ease, Pace};
+use myrtlegauge_comeback::{Budget, Ease, Pace, Times};
 use std::time::Duration;
 
 /// A cache host, a parent or the origin. All zero: warm, healthy, not crowded, not listed.
@@ -23,12 +23,8 @@
     /// Forwards out that are probably fills from there, and the bound on them.
     pub fills_out: f64,
     pub fills: Pace,
-    /// Of fills from there, and of hits at a cache: their wait, s, times their sending time that they took then,
-    /// their mean sending time, the last.
-    pub wait: f64,
-    pub pace: f64,
-    pub pace_sending: f64,
-    pub filled_at: Duration,
+    /// Of fills from there, and of hits at a cache.
+    pub times: Times,
     /// Work sent while cold.
     pub budget: Budget,
 }
@@ -59,6 +55,8 @@
     pub overdue: Duration,
     /// Probably no hit, and counted as a fill.
     pub fill: bool,
+    /// Part of a fill that it counts as at the origin, which its source may have to ask.
+    pub reaches: f64,
     /// How slow the host was then.
     pub slowness: f64,
     pub withdrawn: bool,
