--- a/crates/comeback/src/pace.rs
+++ b/crates/comeback/src/pace.rs
@@ -104,6 +104,25 @@
         }
     }
 
+    /// Shared by so many from now on. By more: the part shrinks at once, for the others begin at once; by fewer: it rises
+    /// as the source shows that it bears it.
+    ///
+    /// ```
+    /// use myrtlegauge_comeback::Pace;
+    /// let mut pace = Pace::default();
+    /// pace.begin(10.0, false, 0.0, std::time::Duration::ZERO);
+    /// let before = pace.limit();
+    /// pace.shared_by(20.0);
+    /// assert_eq!(pace.limit(), before / 2.0);
+    /// pace.shared_by(10.0);
+    /// assert_eq!(pace.limit(), before / 2.0);
+    /// ```
+    pub fn shared_by(&mut self, sharers: f64) {
+        let sharers = sharers.max(1.0);
+        self.limit *= (self.sharers / sharers).min(1.0);
+        self.sharers = sharers;
+    }
+
     fn first(&self) -> f64 {
         self.times * FIRST.1 + FIRST.0 / self.sharers + FIRST_FEW / (self.sharers * self.sharers)
     }
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/desk.rs
@@ -132,6 +132,8 @@
     pub zones: Option<Zones>,
     pub zone_heard: Vec<ZoneNews>,
     pub zones_due: Duration,
+    /// For how many sources are shared, where the members' view has just changed that.
+    pub sharers: Option<usize>,
 }
 
 /// A budget of log lines in each `LOG_EVERY`, and how many went unsaid since the last line said.
@@ -242,6 +244,7 @@
             zones: None,
             zone_heard: Vec::new(),
             zones_due: Duration::MAX,
+            sharers: None,
             clock,
             most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
             most_links: (room.descriptors as f64 * LINKS_PART) as usize,
@@ -338,7 +341,10 @@
     }
 
     pub fn next_due(&self) -> Duration {
-        if !self.zone_heard.is_empty() || !self.stirred.is_empty() && !self.is_full_of_requests() {
+        if !self.zone_heard.is_empty()
+            || self.sharers.is_some()
+            || !self.stirred.is_empty() && !self.is_full_of_requests()
+        {
             return Duration::ZERO;
         }
         let first = self.dues.peek().map_or(Duration::MAX, |Reverse((at, _))| *at);
@@ -347,6 +353,7 @@
 
     pub fn has_news(&self) -> bool {
         self.feed_heard
+            || self.sharers.is_some()
             || !self.heard_links.is_empty()
             || !self.heard_clients.is_empty()
             || !self.ended.is_empty()
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -19,6 +19,7 @@
 pub use keyed::Key;
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListKind, Purged, Values};
+use myrtlegauge_membership::driver::{self, Member};
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::feed::Feed;
 use myrtlegauge_wire::places::Places;
@@ -48,11 +49,14 @@
     pub room: Room,
     /// The services to follow on zones; none in `run`.
     pub zones: Option<ZonePort>,
+    /// This dispatcher as a member of its fleet; none in `run`.
+    pub member: Option<driver::Posting>,
 }
 
 pub struct Dispatcher {
     router: Router,
     desk: Desk,
+    member: Option<Member<Dispatcher>>,
 }
 
 impl Owner for Dispatcher {
@@ -73,7 +77,7 @@
         let names =
             (Door::new(posting.facts)?, Places::new(posting.facts)?, desk::Manners::read(posting.facts));
         let port = posting.zones.take();
-        let news = hub.clone();
+        let (news, member_hub) = (hub.clone(), hub.clone());
         let mut desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
         if let Some(ZonePort { news: heard, report, every }) = port {
             let into = news.insert_source(heard, |event, (), dispatcher: &mut Self| {
@@ -86,7 +90,9 @@
             desk.zones = Some(zones::Zones::new(names, every, report, desk.now));
             desk.zones_due = desk.now;
         }
-        let mut started = Self { router, desk };
+        let member = posting.member.as_ref().map(|told| Member::start(&member_hub, told, Self::member_told));
+        let member = member.transpose().map_err(|e| e.to_string())?;
+        let mut started = Self { router, desk, member };
         let now = started.desk.now;
         started.router.round(now, &mut started.desk, |round| {
             let last = posting.known.last;
@@ -97,6 +103,16 @@
         Ok(started)
     }
 
+    /// What changed among the members: logged, and what it comes to for the sources is told to the module.
+    fn member_told(&mut self, told: driver::Told<'_>) {
+        let (view, sharers) = (told.view, told.sharers);
+        let (epoch, here, doubted, gone, known) =
+            (view.epoch, view.here, view.doubted, view.gone, view.known);
+        let (reach, change) = (view.reach, told.change);
+        log::info!(epoch, here, doubted, gone, known, reach:?, sharers, change:?; "members");
+        self.desk.sharers = Some(sharers);
+    }
+
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.desk.listener.address()
     }
@@ -108,7 +124,7 @@
 
     /// All that one turn of the loop brought, as one round; and another at once where one ended forwards here.
     pub fn turn(&mut self) {
-        let Self { router, desk } = self;
+        let Self { router, desk, .. } = self;
         desk.read();
         desk.hear_zones();
         desk.write();
@@ -121,6 +137,9 @@
                 }
                 let doubted = round.desk().doubted;
                 round.doubted(doubted);
+                if let Some(sharers) = round.desk().sharers.take() {
+                    round.shared(sharers as f64);
+                }
                 let moved = round.desk().zones_moved();
                 if !moved.is_empty() {
                     round.listed(ListKind::Changes, &moved);
@@ -164,6 +183,9 @@
     /// Takes what still comes for the time that a restart allows, then ends once nothing is in hand.
     pub fn stop(&mut self) {
         self.desk.stop();
+        if let Some(member) = self.member.clone() {
+            member.leave(self);
+        }
     }
 
     /// Follows the change log at another address, where a later configuration could be used.
@@ -196,6 +218,9 @@
 
     pub fn report(&self) {
         self.desk.report();
+        if let Some(member) = &self.member {
+            log::info!("{}", member.line());
+        }
     }
 }
 
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -5,6 +5,7 @@
 
 use myrtlegauge_dispatcher::program;
 use myrtlegauge_dispatcher::routing::{Posting, Room, ZonePort};
+use myrtlegauge_membership::driver;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_wire::protocol::changelog::Changes;
 use std::net::SocketAddr;
@@ -30,6 +31,14 @@
         let report = Box::new(move |report| drop(reports.send(std::sync::Arc::new(report))));
         Some(ZonePort { news, report, every: told.reports_every })
     };
+    let member = told.peers.as_ref().map(|peers| driver::Posting {
+        name: told.name.clone(),
+        fleet: peers.fleet.clone(),
+        listen: peers.listen,
+        reached_at: peers.reached_at,
+        peers: peers.peers.clone(),
+        told: peers.told,
+    });
     let posting = Posting {
         listen: told.listen,
         changelog: told.change_log,
@@ -38,6 +47,7 @@
         seed: fastrand::u64(..),
         room: Room { descriptors: told.sockets, memory: told.memory_mb << 20 },
         zones,
+        member,
     };
     program::serve(&told.name, posting, move || change_log(&path))
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,13 +1,14 @@
 //! Proof runs: stand-ins on loopback around the real programs, faults drawn from a seed, an oracle that counts at the
 //! stand-ins. `xds` proves the control service, `client` the client library, `return` a fleet
 //! that comes back together, `leave` one that
-//! leaves a zone and returns. Exit code 0 only if every promise held; 3 if the machine was too busy
+//! leaves a zone and returns, `membership` that members know who is there. Exit code 0 only if every promise held; 3 if the machine was too busy
 //! to judge.
 
 mod client;
 mod comeback;
 mod fleet;
 mod leave;
+mod membership;
 mod stand;
 mod xds;
 
@@ -32,6 +33,8 @@
     Return(comeback::Plan),
     /// Leaving a zone as a fleet, and coming back to it in steps.
     Leave(leave::Plan),
+    /// Members know who is there: pauses, loss, one-sided cuts, splits, deaths, liars, floods.
+    Membership(membership::Plan),
     /// The control service itself, for a proof run to start and kill.
     #[command(hide = true)]
     Serve { file: PathBuf },
@@ -46,6 +49,7 @@
         Proof::Client(plan) => client::run(&plan),
         Proof::Return(plan) => comeback::run(&plan),
         Proof::Leave(plan) => leave::run(&plan),
+        Proof::Membership(plan) => membership::run(&plan),
         Proof::Dispatch { file: None } => {
             myrtlegauge_operator::logs::start_plain();
             ended(myrtlegauge_dispatcher::program::run())
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -2,6 +2,7 @@
 //! programs as processes, the links between any two of them, and the ledger that judges; and how a proof is run and ends.
 
 pub mod asker;
+pub mod between;
 pub mod changelog;
 pub mod hosts;
 pub mod ledger;
--- a/crates/lab/src/stand/net.rs
+++ b/crates/lab/src/stand/net.rs
@@ -66,6 +66,11 @@
         });
     }
 
+    /// What is wrong with a way now.
+    pub fn way(&self, from: Party, to: Party) -> Option<Way> {
+        self.ways.borrow().get(&(from, to)).copied()
+    }
+
     /// Both ways between two parties.
     pub fn set_both(&self, one: Party, other: Party, way: Way) {
         self.set(one, other, way);
--- a/crates/lab/src/stand/process.rs
+++ b/crates/lab/src/stand/process.rs
@@ -99,6 +99,16 @@
     (address, PORTS.fetch_add(1, Ordering::Relaxed) as u16).into()
 }
 
+/// The same for one of several members, each on a host of its own.
+pub fn own_address_of(member: usize) -> SocketAddr {
+    let mut address = own_address();
+    if let std::net::IpAddr::V4(ip) = address.ip() {
+        let [_, _, c, d] = ip.octets();
+        address.set_ip(Ipv4Addr::new(127, 100 + member as u8, c, d).into());
+    }
+    address
+}
+
 impl Dispatcher {
     pub fn start(text: &str, log: SocketAddr, verbose: bool) -> Result<Self, String> {
         let known = json!({"seq": 0, "results": []});
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -1,7 +1,7 @@
 //! The core: members, probes, doubts. No I/O, no clock, no order of a hash.
 
 use crate::errors::MembershipError;
-use crate::health::{ALONE, Bucket, EVERY, Health, LOOKS, Look, PATIENCE, PAUSE};
+use crate::health::{Bucket, EVERY, Health, LOOKS, Look, PATIENCE, PAUSE};
 use crate::message::{
     Body, DATAGRAM_MOST, Datagram, EXCHANGE_MOST, Exchange, LINES_MOST, Life, Line, NAME_MOST, State,
     fleet_number, read, write,
@@ -223,8 +223,7 @@
     /// Nobody has answered for so long that this member doubts itself before others.
     fn is_alone(&self) -> bool {
         let others = self.members.values().any(|m| m.state <= State::Doubted) || !self.peers.is_empty();
-        let patience = ALONE.mul_f64(self.health.strain());
-        others && self.answered_at.is_none_or(|at| self.now > at + patience)
+        others && self.answered_at.is_none_or(|at| self.now > at + self.health.alone_after())
     }
 
     /// A message that came; what can't be read is counted and changes nothing.
@@ -413,9 +412,13 @@
         if let Some((name, member)) = of {
             lines.push(member.line(name));
         }
+        let room = if self.bucket.has_news_left(self.now) { LINES_MOST } else { 1 };
+        if body == Body::Tell && room < LINES_MOST && !self.leaving {
+            return false;
+        }
         let mut new: Vec<_> = self.members.iter_mut().filter(|(_, m)| m.travels > 0 && m.at != to).collect();
         new.sort_by_key(|(_, m)| std::cmp::Reverse(m.travels));
-        for (name, member) in new.into_iter().take(LINES_MOST - lines.len()) {
+        for (name, member) in new.into_iter().take(room - lines.len()) {
             member.travels -= 1;
             lines.push(member.line(name));
         }
@@ -570,11 +573,10 @@
         let member = self.members.get_mut(&line.name).expect("it was there a moment ago");
         match line.state {
             State::Here => {}
+            State::Left if own && member.state == State::Left => {}
             State::Left if own => {
-                if member.state != State::Left {
-                    (member.state, member.since, member.travels) = (State::Left, now, travels);
-                    self.changes.push(Change::Left(line.name.clone()));
-                }
+                (member.state, member.since, member.travels) = (State::Left, now, travels);
+                self.changes.push(Change::Left(line.name.clone()));
             }
             State::Doubted | State::Gone | State::Left if member.state <= State::Doubted => {
                 if member.accusers.len() < NAMES_MOST {
--- a/crates/membership/src/health.rs
+++ b/crates/membership/src/health.rs
@@ -16,8 +16,9 @@
 const MUTE: Duration = Duration::from_millis(14_000);
 /// Other accusers that are enough.
 const ENOUGH: f64 = 3.0;
-/// Without an answer by anybody for so long a member doubts itself and accuses nobody; times the strain.
+/// Without an answer by anybody for so long a member doubts itself and accuses nobody; times the strain, up to a most.
 pub const ALONE: Duration = Duration::from_millis(1000);
+const ALONE_STRAIN: f64 = 2.5;
 /// A turn that comes so much late: this process did not run.
 pub const PAUSE: Duration = Duration::from_millis(150);
 /// The strain of one whose every ping fails, over one whose none does.
@@ -59,6 +60,11 @@
         1.0 + STRAIN * self.failing
     }
 
+    /// Without an answer for so long a member doubts itself: sooner than it would others under the same strain.
+    pub fn alone_after(&self) -> Duration {
+        ALONE.mul_f64(self.strain().min(ALONE_STRAIN))
+    }
+
     /// For how long a member is doubted before it is held for gone.
     pub fn doubt_lasts(&self, saw: Look, others: usize) -> Duration {
         match saw {
@@ -81,19 +87,31 @@
 }
 
 /// Bytes a second, and as many saved.
-pub const BYTES_A_SECOND: f64 = 2700.0;
-const SAVED: f64 = 2.0 * BYTES_A_SECOND;
-/// Part of what is saved that answers may not use up: one who floods must not keep this member from asking.
-const KEPT: f64 = 0.4;
+pub const BYTES_A_SECOND: f64 = 2300.0;
+const SAVED: f64 = BYTES_A_SECOND;
+/// Part of what is saved that answers may not use up: one who floods must not keep this member from asking. And the part
+/// under which nothing but pings and answers is said: news that left no bytes for answers would make doubts, and those news.
+const KEPT: f64 = 0.2;
+const KEPT_FROM_NEWS: f64 = 0.6;
 
 impl Bucket {
     pub fn new(now: Duration) -> Self {
         Self { left: SAVED, at: now }
     }
 
-    pub fn takes(&mut self, bytes: usize, is_answer: bool, now: Duration) -> bool {
+    fn fill(&mut self, now: Duration) {
         let gained = now.saturating_sub(self.at).as_secs_f64() * BYTES_A_SECOND;
         (self.left, self.at) = ((self.left + gained).min(SAVED), now);
+    }
+
+    /// Whether there is room for news.
+    pub fn has_news_left(&mut self, now: Duration) -> bool {
+        self.fill(now);
+        self.left > SAVED * KEPT_FROM_NEWS
+    }
+
+    pub fn takes(&mut self, bytes: usize, is_answer: bool, now: Duration) -> bool {
+        self.fill(now);
         let least = if is_answer { SAVED * KEPT } else { 0.0 };
         let fits = self.left - bytes as f64 >= least;
         if fits {
@@ -124,7 +142,7 @@
     fn answers_to_a_flood_leave_what_own_pings_need() {
         let mut bucket = Bucket::new(Duration::ZERO);
         let answered = (0..1000).filter(|_| bucket.takes(60, true, Duration::ZERO)).count();
-        assert!(answered < 60, "{answered}");
+        assert!(answered < 40, "{answered}");
         assert!(bucket.takes(60, false, Duration::ZERO));
     }
 }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -236,7 +236,8 @@
 /// A single cut of one direction removes nobody; nor do a ring of them, or a cut both ways between two.
 #[test]
 fn one_sided_cuts_that_others_can_reach_around_remove_nobody() {
-    let pairs: [fn(usize) -> Vec<(usize, usize)>; 3] = [
+    type Cut = fn(usize) -> Vec<(usize, usize)>;
+    let pairs: [Cut; 3] = [
         |_| vec![(4, 7)],
         |_| vec![(4, 7), (7, 4)],
         |members| (0..members).map(|index| (index, (index + 1) % members)).collect(),
@@ -285,11 +286,13 @@
         fleet.run(s(40));
         let reach = |index: usize| fleet.cores[index].as_ref().map(|core| core.view().reach);
         let most = (0..16).filter(|&index| reach(index) == Some(Reach::Most)).count();
+        let views: Vec<_> = fleet.cores.iter().flatten().map(|core| core.view()).collect();
         assert_eq!(most, [first, 16 - first].into_iter().find(|half| half * 2 > 16).unwrap_or(0));
         assert!(fleet.cores.iter().flatten().all(|core| core.sharers() == 16));
         fleet.cut.clear();
         fleet.run(s(60));
-        assert!(fleet.whole(), "{first}");
+        let views: Vec<_> = fleet.cores.iter().flatten().map(Membership::view).collect();
+        assert!(fleet.whole(), "{first} {views:#?}");
     }
 }
 
--- a/crates/operator/src/file.rs
+++ b/crates/operator/src/file.rs
@@ -131,6 +131,12 @@
         field("change-log", Kind::Address, Often::Once, "the change log of hosts and purges"),
         field("follow", Kind::Address, Often::Any, "a control service whose verdicts on zones it follows"),
         field("reports-every", Kind::Span, Often::Maybe("250ms"), "how often it tells them what it saw"),
+        field(
+            "peers",
+            Kind::Form(&PEERS),
+            Often::Maybe("no talk among dispatchers"),
+            "the other dispatchers of its fleet",
+        ),
         field("memory", Kind::Count, Often::Maybe("192"), "megabytes that it may take"),
         field("sockets", Kind::Count, Often::Maybe("1024"), "descriptors that it may hold"),
         field("streams", Kind::Count, Often::Maybe("100"), "GETs at once on one connection to a host"),
@@ -139,6 +145,21 @@
     ],
 };
 
+static PEERS: Form = Form {
+    titled: false,
+    fields: &[
+        field("listen", Kind::Address, Often::Once, "where members talk to this one, by UDP and TCP"),
+        field(
+            "reached-at",
+            Kind::Address,
+            Often::Maybe("where it listens"),
+            "the address that others are told",
+        ),
+        field("fleet", Kind::Text, Often::Once, "the fleet's name; messages of others are refused"),
+        field("peer", Kind::Address, Often::AtLeastOnce, "a member to begin with; some are enough"),
+    ],
+};
+
 static FOOTPRINT: Form = Form {
     titled: false,
     fields: &[
@@ -294,6 +315,18 @@
     pub reports_every: Duration,
     pub memory_mb: usize,
     pub sockets: usize,
+    pub peers: Option<PeerTerms>,
+}
+
+/// A dispatcher as a member of its fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerTerms {
+    pub listen: SocketAddr,
+    pub reached_at: Option<SocketAddr>,
+    pub fleet: String,
+    pub peers: Vec<SocketAddr>,
+    /// Dispatchers and services that share the origin, as told.
+    pub told: usize,
 }
 
 /// A host named in the file.
@@ -353,7 +386,7 @@
             log_form: log.text("form").and_then(logs::Form::named).unwrap_or_default(),
             log_level: log.text("level").and_then(|level| level.parse().ok()).unwrap_or(LevelFilter::Info),
             control: control.map(|control| read_control(control, faults)),
-            dispatcher: dispatcher.map(|told| read_dispatcher(told, faults)),
+            dispatcher: dispatcher.map(|told| read_dispatcher(told, footprint, faults)),
             services: services.iter().map(|service| service.title.clone()).collect(),
             facts: facts(footprint, dispatcher.unwrap_or(&none), &kinds, (&services, &zones), faults),
             zones,
@@ -415,7 +448,7 @@
     read
 }
 
-fn read_dispatcher(told: &Checked, faults: &mut Vec<Fault>) -> DispatcherTerms {
+fn read_dispatcher(told: &Checked, footprint: &Checked, faults: &mut Vec<Fault>) -> DispatcherTerms {
     let count = |name: &str, without: u64| told.count(name).unwrap_or(without) as usize;
     let read = DispatcherTerms {
         name: told.text("name").unwrap_or_default().to_owned(),
@@ -425,6 +458,13 @@
         reports_every: told.span("reports-every").unwrap_or(Duration::from_millis(250)),
         memory_mb: count("memory", 192),
         sockets: count("sockets", 1024),
+        peers: told.forms("peers").next().map(|peers| PeerTerms {
+            listen: peers.address("listen").unwrap_or(NOWHERE),
+            reached_at: peers.address("reached-at"),
+            fleet: peers.text("fleet").unwrap_or_default().to_owned(),
+            peers: peers.addresses("peer").collect(),
+            told: footprint.number("instances").unwrap_or(1.0).max(1.0) as usize,
+        }),
     };
     let mut refuse = |name: &str, what: &str| faults.push(Fault { at: told.place(name), what: what.into() });
     if read.reports_every < Duration::from_millis(10) {
@@ -433,6 +473,12 @@
     if read.memory_mb < 32 {
         refuse("memory", "memory is under 32 megabytes");
     }
+    if read.peers.as_ref().is_some_and(|peers| peers.listen.port() == 0 && peers.reached_at.is_none()) {
+        refuse(
+            "peers",
+            "listen names no port: others could not be told where to reach this one; name a port",
+        );
+    }
     if read.sockets < 64 {
         refuse("sockets", "sockets are under 64");
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -440,7 +440,7 @@
 }
 
 pub struct Round<'a, D: Dispatch> {
-    r: &'a mut Router,
+    pub(crate) r: &'a mut Router,
     out: &'a mut D,
     now: Duration,
 }
@@ -754,7 +754,7 @@
             // What happens to caches elsewhere changes no ring here.
             laid |= r.parental(entry) || r.site.serves(entry.zone) || entry.kind == r.site.origin_kind;
             r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
-            let sharers = if r.parental(entry) { r.site.parent_start.routers } else { r.site.routers };
+            let sharers = r.site.sharers(r.parental(entry));
             let h = &mut r.hosts[entry.host];
             if h.entry.mark != entry.mark {
                 *h = Host::default();
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -41,6 +41,8 @@
     pub parent_kind: Option<usize>,
     pub origin_kind: usize,
     pub routers: f64,
+    /// The same, at this location and at its hub, as told at the start.
+    told: [f64; 3],
     /// Other routers at this location.
     pub neighbours: f64,
     /// Kilobytes a second of one transfer to a client.
@@ -99,6 +101,22 @@
         self.serves.contains(&zone)
     }
 
+    /// So many routers share the sources from now on; those of this location and its hub are taken to be the same part
+    /// of them as were told.
+    pub fn shared_by(&mut self, routers: f64) {
+        let [all, here, near] = self.told;
+        let part = routers / all;
+        self.routers = routers.max(1.0);
+        (self.cache_start.routers, self.parent_start.routers) =
+            ((here * part).max(1.0), (near * part).max(1.0));
+        self.neighbours = self.cache_start.routers - 1.0;
+    }
+
+    /// Routers that share a source.
+    pub fn sharers(&self, is_parent: bool) -> f64 {
+        if is_parent { self.parent_start.routers } else { self.routers }
+    }
+
     pub fn read(told: &Values) -> Result<Self, String> {
         let places = |name: &str| -> Vec<usize> {
             let values = list(told, name).unwrap_or_default();
@@ -111,6 +129,7 @@
         }
         let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
         let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
+        let near = near.map(|(_, &n)| n as f64).sum::<f64>().max(1.0);
         let flow = above_zero(told, "domain.flow_kb_per_s")?;
         let heard = flag(told, "limits.retry_after");
         Ok(Self {
@@ -119,6 +138,7 @@
             parent_kind: Some(number(told, "domain.shield_kind")?).filter(|&k| k >= 0.0).map(|k| k as usize),
             origin_kind: number(told, "domain.master_kind")? as usize,
             routers,
+            told: [routers, zone_routers, near],
             neighbours: zone_routers - 1.0,
             flow,
             link: number(told, &format!("domain.feed_kb_per_s.{zone}")).unwrap_or(0.0) / flow,
@@ -139,7 +159,7 @@
                 from: number(told, "domain.parent_floor").unwrap_or(0.0),
                 long: span(told, "domain.parent_cold_ms").unwrap_or_default(),
                 falls_at: number(told, "domain.parent_breaks_at").unwrap_or(1.0),
-                routers: near.map(|(_, &n)| n as f64).sum::<f64>().max(1.0),
+                routers: near,
             },
             falls_in: span(told, "obligations.fall_ms")?.as_secs_f64(),
             purged_within: span(told, "domain.gone_everywhere_ms").unwrap_or_default(),
--- a/src/reading.rs
+++ b/src/reading.rs
@@ -1,8 +1,8 @@
 //! What a router decides at a moment, in a form that those can follow who take GETs elsewhere: proxies of a control
 //! service. The rules by which a key finds its host stand here once, for the decision module and for its followers.
 
-use crate::decide::{MOST_FORWARDS, Router};
-use crate::interface::HostIndex;
+use crate::decide::{MOST_FORWARDS, Round, Router};
+use crate::interface::{Dispatch, HostIndex};
 use crate::ring::Ring;
 use myrtlegauge_comeback::bits::{mix, place};
 use std::time::Duration;
@@ -162,3 +162,15 @@
         }
     }
 }
+
+impl<D: Dispatch> Round<'_, D> {
+    /// For how many routers sources are shared from now on, as the view of their members has it.
+    pub fn shared(&mut self, routers: f64) {
+        let r = &mut *self.r;
+        r.site.shared_by(routers);
+        for host in &mut r.hosts {
+            let is_parent = Some(host.entry.kind) == r.site.parent_kind;
+            host.fills.shared_by(r.site.sharers(is_parent));
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -244,6 +244,7 @@
         let turns = EventLoop::try_new().unwrap();
         let posting = Posting {
             zones: None,
+            member: None,
             listen: ([127, 0, 0, 1], 0).into(),
             changelog: changelog.address,
             known: serde_json::from_str(&known).unwrap(),
