--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -286,7 +286,6 @@
         fleet.run(s(40));
         let reach = |index: usize| fleet.cores[index].as_ref().map(|core| core.view().reach);
         let most = (0..16).filter(|&index| reach(index) == Some(Reach::Most)).count();
-        let views: Vec<_> = fleet.cores.iter().flatten().map(|core| core.view()).collect();
         assert_eq!(most, [first, 16 - first].into_iter().find(|half| half * 2 > 16).unwrap_or(0));
         assert!(fleet.cores.iter().flatten().all(|core| core.sharers() == 16));
         fleet.cut.clear();
