--- a/crates/lab/src/membership.rs
+++ b/crates/lab/src/membership.rs
@@ -3,7 +3,7 @@
 
 use crate::stand::between::Between;
 use crate::stand::net::{Net, Party, Way};
-use crate::stand::process::{Dispatcher, own_address, own_address_of};
+use crate::stand::process::{Dispatcher, own_address_of};
 use crate::stand::{self, watch};
 use clap::ValueEnum;
 use myrtlegauge_membership::message::{Body, Datagram, Exchange, Line, fleet_number, read, write};
@@ -391,7 +391,6 @@
 }
 
 async fn prove(plan: &Plan) -> Result<ExitCode, String> {
-    let _ = own_address();
     let lag = Arc::new(AtomicU64::new(0));
     let watching = tokio::spawn(watch(Arc::clone(&lag)));
     let mut rig = Rig::start(plan).await?;
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -112,7 +112,6 @@
     next_reach: Duration,
     next_exchange: Duration,
     answered_at: Option<Duration>,
-    travels: u32,
     /// Another has the name.
     out_of_name: bool,
     leaving: bool,
@@ -163,7 +162,6 @@
             next_reach: now,
             next_exchange: now + EXCHANGES,
             answered_at: None,
-            travels: 0,
             out_of_name: false,
             leaving: false,
             epoch: 0,
@@ -231,9 +229,7 @@
     /// # Errors
     /// What was wrong with it.
     pub fn heard(&mut self, bytes: &[u8], now: Duration, out: &mut Vec<Act>) -> Result<(), MembershipError> {
-        let taken =
-            read::<Datagram>(bytes, DATAGRAM_MOST).and_then(|said| self.ours(said.fleet).map(|()| said));
-        let said = taken.inspect_err(|_| self.refused += 1)?;
+        let said = self.taken(bytes, DATAGRAM_MOST, |said: &Datagram| said.fleet)?;
         self.passes(now);
         if said.from.name == self.me.name {
             self.namesake(&said.from);
@@ -290,9 +286,7 @@
     /// # Errors
     /// What was wrong with what it said.
     pub fn asked(&mut self, bytes: &[u8], now: Duration) -> Result<Vec<u8>, MembershipError> {
-        let taken =
-            read::<Exchange>(bytes, EXCHANGE_MOST).and_then(|said| self.ours(said.fleet).map(|()| said));
-        let said = taken.inspect_err(|_| self.refused += 1)?;
+        let said = self.taken(bytes, EXCHANGE_MOST, |said: &Exchange| said.fleet)?;
         self.passes(now);
         self.exchanged(&said);
         Ok(self.exchange())
@@ -312,9 +306,7 @@
         self.looking.remove(&at);
         let saw = match saw {
             Ok(bytes) => {
-                let taken = read::<Exchange>(bytes, EXCHANGE_MOST)
-                    .and_then(|said| self.ours(said.fleet).map(|()| said));
-                let said = taken.inspect_err(|_| self.refused += 1)?;
+                let said = self.taken(bytes, EXCHANGE_MOST, |said: &Exchange| said.fleet)?;
                 self.exchanged(&said);
                 if let Some(from) = said.from.filter(|from| from.name != self.me.name) {
                     self.answered(&from.name);
@@ -366,9 +358,18 @@
         }
     }
 
-    fn ours(&self, theirs: u64) -> Result<(), MembershipError> {
-        let ours = self.fleet;
-        if theirs == ours { Ok(()) } else { Err(MembershipError::OtherFleet { theirs, ours }) }
+    /// What came, if it can be read and is of this fleet; else it is counted.
+    fn taken<'a, T: serde::Deserialize<'a>>(
+        &mut self,
+        bytes: &'a [u8],
+        most: usize,
+        fleet: impl Fn(&T) -> u64,
+    ) -> Result<T, MembershipError> {
+        let taken = read::<T>(bytes, most).and_then(|said| match fleet(&said) {
+            theirs if theirs == self.fleet => Ok(said),
+            theirs => Err(MembershipError::OtherFleet { theirs, ours: self.fleet }),
+        });
+        taken.inspect_err(|_| self.refused += 1)
     }
 
     /// Time passes. After a gap nothing that was awaited meanwhile is held against anybody: it was this process that
@@ -391,7 +392,6 @@
         self.health.woke();
         self.answered_at = None;
         self.me.life.incarnation += 1;
-        self.travels = self.travels_most();
         self.changes.push(Change::Woke(late.as_millis() as u64));
     }
 
@@ -651,7 +651,7 @@
                 (State::Doubted, now, now, travels);
             self.changes.push(Change::Doubted(probe.whom.clone()));
         }
-        self.judge(&probe.whom.clone());
+        self.judge(&probe.whom);
     }
 
     /// Whether a doubted member is to be held for gone: only by what was seen from here, for as long as the doubt lasts.
--- a/crates/membership/src/driver.rs
+++ b/crates/membership/src/driver.rs
@@ -51,7 +51,6 @@
     began: Instant,
     hub: LoopHandle<'static, D>,
     heard: Rc<Heard<D>>,
-    timer: Option<RegistrationToken>,
     looks: BTreeMap<SocketAddr, (RegistrationToken, Instant, bool)>,
     looked_at: usize,
 }
@@ -98,7 +97,6 @@
             began: Instant::now(),
             hub: hub.clone(),
             heard: Rc::new(heard),
-            timer: None,
             looks: BTreeMap::new(),
             looked_at: 0,
         })));
@@ -126,7 +124,7 @@
             let due = inner.core.due().saturating_sub(inner.began.elapsed());
             TimeoutAction::ToDuration(due.max(Duration::from_millis(1)))
         });
-        member.0.borrow_mut().timer = Some(timer.map_err(|e| taken("a timer")(e.error))?);
+        timer.map_err(|e| taken("a timer")(e.error))?;
         Ok(member)
     }
 
