--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -140,7 +140,7 @@
             let m: read::Call = body(number, name, text)?;
             let ticket = read::ticket(number, name, &m.ticket)?;
             let place = round.next_place();
-            round.desk().open(ticket, place);
+            round.writer().open(ticket, place);
             round.take(Get {
                 ds: m.lane,
                 object: m.item,
@@ -155,7 +155,7 @@
         "Response" => {
             let m: read::Response = body(number, name, text)?;
             let ticket = read::ticket(number, name, &m.ticket)?;
-            let Some(place) = round.desk().place(ticket) else { return Ok(()) };
+            let Some(place) = round.writer().place(ticket) else { return Ok(()) };
             let outcome = Outcome {
                 hop: m.hop,
                 end: read::end(m.result)
@@ -172,7 +172,7 @@
         "Abandoned" => {
             let m: read::Named = body(number, name, text)?;
             let ticket = read::ticket(number, name, &m.ticket)?;
-            if let Some(place) = round.desk().place(ticket) {
+            if let Some(place) = round.writer().place(ticket) {
                 round.abandoned(place);
             }
         }
@@ -187,7 +187,7 @@
             };
             let mut entries = Vec::with_capacity(m.items.len());
             for item in &m.items {
-                let host = round.desk().host(&item.host);
+                let host = round.writer().host(&item.host);
                 entries
                     .push(item.entry(host).ok_or_else(|| {
                         format!("line {number}: Endpoints: lifecycle {:?}", item.lifecycle)
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -38,14 +38,14 @@
     answer: Option<Returned>,
 }
 
-/// What the loop tells the client: which lines stirred.
+/// What the loop tells the client: which lines are ready.
 #[derive(Default)]
 struct Stirs(Vec<LinkId>);
 
 impl Owner for Stirs {
     type Key = LinkId;
 
-    fn stirred(&mut self, who: LinkId) {
+    fn ready(&mut self, who: LinkId) {
         self.0.push(who);
     }
 }
@@ -267,12 +267,12 @@
     pub fn turn(&mut self, most: Duration) -> Result<(), String> {
         let wait = self.patience().map_or(most, |patience| patience.min(most));
         self.turns.dispatch(wait, &mut self.stirs).map_err(|e| format!("the event loop: {e}"))?;
-        let stirred = std::mem::take(&mut self.stirs.0);
+        let ready = std::mem::take(&mut self.stirs.0);
         let now = self.started.elapsed();
         let shared = &mut self.shared;
         self.core.round(now, &mut self.desk, |round| {
-            for link in stirred {
-                stir(round, link, shared);
+            for link in ready {
+                on_ready(round, link, shared);
             }
         });
         self.tell_failed();
@@ -295,7 +295,7 @@
 }
 
 /// Reads and writes what can be on one line.
-fn stir(round: &mut Round<'_, Desk>, link: LinkId, shared: &mut [u8]) {
+fn on_ready(round: &mut Round<'_, Desk>, link: LinkId, shared: &mut [u8]) {
     let Some(line) = round.carry().lines.get_mut(&link) else { return };
     let up = match line.connection.is_up() {
         Ok(up) => up,
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -92,7 +92,7 @@
 impl Owner for Service {
     type Key = ChangeLog;
 
-    fn stirred(&mut self, _: ChangeLog) {
+    fn ready(&mut self, _: ChangeLog) {
         self.feed_stirred = true;
     }
 }
@@ -257,7 +257,7 @@
         self.counters.polls_lost += u64::from(feed.tend(&self.hub, &self.accounts, self.now));
         let mut more = std::mem::take(&mut self.feed_stirred);
         while more {
-            more = feed.stir(&mut self.shared);
+            more = feed.on_ready(&mut self.shared);
             loop {
                 match feed.next(self.now) {
                     Ok(Some(body)) => self.polled(&mut feed, &body),
--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -3,16 +3,16 @@
 mod start;
 mod usage;
 
-pub use start::{Told, moved};
+pub use start::{ConfigFile, moved};
 
-use crate::routing::{Dispatcher, Posting};
+use crate::routing::{Dispatcher, Startup};
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use std::net::SocketAddr;
 
 pub fn run() -> Result<(), String> {
     let text = start::read()?;
-    let told = start::Told::parse(&text)?;
+    let told = start::ConfigFile::parse(&text)?;
     let started = text.clone();
     let reread = move || {
         let (changelog, kept) = start::read().and_then(|text| moved(&started, &text))?;
@@ -21,13 +21,13 @@
         }
         Ok(changelog)
     };
-    serve(&told.name, told.posting()?, reread)
+    serve(&told.name, told.startup()?, reread)
 }
 
 /// Takes GETs until it is told to end. `reread` says at SIGHUP where the change log is by what was told anew.
 pub fn serve(
     name: &str,
-    posting: Posting<'_>,
+    startup: Startup<'_>,
     reread: impl Fn() -> Result<SocketAddr, String> + 'static,
 ) -> Result<(), String> {
     let mut turns = EventLoop::<Dispatcher>::try_new().map_err(|e| format!("no event loop: {e}"))?;
@@ -39,7 +39,7 @@
         _ => dispatcher.stop(),
     });
     watched.map_err(|e| format!("signals can't be watched: {e}"))?;
-    let mut dispatcher = Dispatcher::start(turns.handle(), posting)?;
+    let mut dispatcher = Dispatcher::start(turns.handle(), startup)?;
     let address = dispatcher.address().map_err(|e| format!("the listener has no address: {e}"))?;
     log::info!("{name} listens on {address}");
     while !dispatcher.is_done() {
--- a/crates/dispatcher/src/program/start.rs
+++ b/crates/dispatcher/src/program/start.rs
@@ -1,6 +1,6 @@
 //! What the program is told at its start, and what of it may change later.
 
-use crate::routing::{Posting, Room};
+use crate::routing::{Room, Startup};
 use myrtlegauge::interface::Values;
 use myrtlegauge_wire::protocol::changelog::Changes;
 use serde::Deserialize;
@@ -10,7 +10,7 @@
 const FILE: &str = "ROUTER_CONFIG";
 
 #[derive(Deserialize)]
-pub struct Told<'a> {
+pub struct ConfigFile<'a> {
     #[serde(borrow)]
     pub name: Cow<'a, str>,
     #[serde(borrow)]
@@ -39,7 +39,7 @@
 /// Where the change log is by a later file, and the fields in which that file differs from the one of the start
 /// without effect. The events known and the seed belong to a start and are passed over.
 pub fn moved(started: &str, text: &str) -> Result<(SocketAddr, Vec<&'static str>), String> {
-    let (was, is) = (Told::parse(started)?, Told::parse(text)?);
+    let (was, is) = (ConfigFile::parse(started)?, ConfigFile::parse(text)?);
     let same = [
         ("name", was.name == is.name),
         ("listen", was.listen == is.listen),
@@ -54,16 +54,16 @@
     told.parse().map_err(|_| format!("{FILE}: {what} {told:?} is not an address"))
 }
 
-impl<'a> Told<'a> {
+impl<'a> ConfigFile<'a> {
     pub fn parse(text: &'a str) -> Result<Self, String> {
         serde_json::from_str(text).map_err(|e| format!("{FILE}: {e}"))
     }
 
-    pub fn posting(&self) -> Result<Posting<'_>, String> {
+    pub fn startup(&self) -> Result<Startup<'_>, String> {
         let seed = u64::from_str_radix(&self.seed, 16);
         let known: Changes<'_> =
             serde_json::from_str(self.known.get()).map_err(|e| format!("{FILE}: known: {e}"))?;
-        Ok(Posting {
+        Ok(Startup {
             listen: address("listen", &self.listen)?,
             changelog: address("changelog", &self.changelog)?,
             known,
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -1,16 +1,16 @@
-//! The clients' side of the desk: requests in, answers out.
+//! The clients' side of the proxy: requests in, answers out.
 
 use super::clients::Answer;
-use super::desk::Desk;
-use super::door;
-use super::hands::Hand;
+use super::codec;
+use super::in_flight::Pending;
+use super::proxy::Proxy;
 use super::{Key, Who};
 use bytes::Bytes;
 use myrtlegauge::interface::{Get, Place};
 use myrtlegauge_wire::protocol::Fault;
 use myrtlegauge_wire::protocol::fastcgi::{self, Message, Request};
 
-impl Desk {
+impl Proxy {
     /// Reads on with one client until a GET is whole; none once nothing more has come.
     pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
         loop {
@@ -61,14 +61,14 @@
     }
 
     fn asked(&mut self, key: Key, place: Place, mut request: Request) -> Option<Get> {
-        request.held = door::bare(&request.held);
+        request.held = codec::bare(&request.held);
         let (number, keep_conn) = (request.number, request.keep_conn);
-        let (mut get, id) = (self.door.get(&request), door::hex(&request.id).unwrap_or_default());
+        let (mut get, id) = (self.codec.get(&request), codec::hex(&request.id).unwrap_or_default());
         if let (Some(get), Some(zones)) = (&mut get, &self.zones) {
             get.over = zones.is_over(myrtlegauge::reading::key(get.object, get.part));
         }
         // Two GETs under one id would take each other's answers at a host.
-        let twice = get.is_some() && self.hands.holds(id);
+        let twice = get.is_some() && self.in_flight.holds(id);
         self.counters.twice += u64::from(twice);
         let get = get.filter(|_| !twice);
         let ready = self.is_ready();
@@ -88,7 +88,7 @@
             return None;
         };
         // No client waits longer than the settings tell.
-        get.viewer_timeout = get.viewer_timeout.min(self.manners.longest);
+        get.viewer_timeout = get.viewer_timeout.min(self.limits.longest);
         self.counters.taken += 1;
         self.record.took(self.now);
         self.counters.retries += u64::from(get.again);
@@ -96,7 +96,7 @@
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
         self.accounts.requests.add(request.long);
-        self.hands.open(place, Hand { owed, id, request, get, until, ..Hand::default() });
+        self.in_flight.open(place, Pending { owed, id, request, get, until, ..Pending::default() });
         Some(get)
     }
 
@@ -115,8 +115,8 @@
 
     /// Pays what is owed for a GET; false if it was answered or abandoned before.
     pub fn pay(&mut self, place: Place, answer: &Answer) -> bool {
-        let retry = self.hands.at(place).get.again;
-        let Some((key, number)) = self.hands.settle(place) else { return false };
+        let retry = self.in_flight.at(place).get.again;
+        let Some((key, number)) = self.in_flight.settle(place) else { return false };
         if let Some(client) = self.clients.get_mut(key) {
             client.close(number);
         }
@@ -132,9 +132,9 @@
             _ => self.counters.errored += 1,
         }
         if returned {
-            let hand = self.hands.at(place);
-            let (in_hand, ds) = (hand.in_hand(self.now), hand.get.ds);
-            let in_time = self.manners.aims_most.get(ds).is_none_or(|aim| in_hand <= *aim);
+            let pending = self.in_flight.at(place);
+            let (in_hand, ds) = (pending.in_hand(self.now), pending.get.ds);
+            let in_time = self.limits.aims_most.get(ds).is_none_or(|aim| in_hand <= *aim);
             if self.record.returned(in_time, self.now) {
                 self.tell_return("returned");
             }
@@ -149,9 +149,9 @@
     /// One line, by the request's id, on a GET that was not returned: what it was, how far it got, how it ended.
     fn log_end(&mut self, place: Place, answer: &Answer) {
         let Some(unsaid) = self.may_log_end() else { return };
-        let hand = self.hands.at(place);
-        let (id, class, hops) = (String::from_utf8_lossy(&hand.request.id), hand.get.ds, hand.hops);
-        let in_hand = hand.in_hand(self.now);
+        let pending = self.in_flight.at(place);
+        let (id, class, hops) = (String::from_utf8_lossy(&pending.request.id), pending.get.ds, pending.hops);
+        let in_hand = pending.in_hand(self.now);
         let (end, back_ms) = match answer {
             Answer::Shed(after) => ("shed", after.map_or(0, |after| after.as_millis())),
             Answer::Errored => ("errored", 0),
@@ -159,7 +159,7 @@
         };
         let ms = in_hand.as_millis();
         // How the last forward that ended went, and where: the host by the list's name.
-        let (last, note, host) = match hand.last {
+        let (last, note, host) = match pending.last {
             Some((host, end, note)) => (
                 format!("{end:?}"),
                 format!("{note:?}"),
@@ -173,7 +173,7 @@
     }
 
     fn abandon(&mut self, place: Place) {
-        if self.hands.settle(place).is_some() {
+        if self.in_flight.settle(place).is_some() {
             self.counters.abandoned += 1;
             self.abandoned.push_back(place);
         }
@@ -190,7 +190,7 @@
 
     /// The answer that a host's bytes make; none where they can't be one.
     pub fn returned(&mut self, place: Place, word: &[u8], body: Bytes) -> Option<Answer> {
-        let holds = !self.hands.at(place).request.held.is_empty();
+        let holds = !self.in_flight.at(place).request.held.is_empty();
         match word {
             b"304" if holds => Some(Answer::NotModified),
             b"304" => None,
--- a/crates/dispatcher/src/routing/door.rs
+++ b/crates/dispatcher/src/routing/codec.rs
@@ -6,13 +6,13 @@
 use myrtlegauge_wire::protocol::fastcgi::Request;
 use myrtlegauge_wire::protocol::resp::Answer;
 
-pub struct Door {
+pub struct Codec {
     pub services: Vec<Bytes>,
     /// Whether a service's GETs are answered by copies; those that are passed on are not.
     copies: Vec<bool>,
 }
 
-impl Door {
+impl Codec {
     pub fn new(told: &Values) -> Result<Self, String> {
         let listed =
             told.get("classes").and_then(|v| v.as_array()).ok_or("setting classes is missing or no list")?;
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -1,10 +1,10 @@
-//! The hosts' side of the desk: forwards out, answers in. It carries out what the module decided.
+//! The hosts' side of the proxy: forwards out, answers in. It carries out what the module decided.
 
 use super::clients::Answer;
-use super::desk::{Desk, Due};
-use super::door;
-use super::hands::Out;
+use super::codec;
 use super::hosts::Link;
+use super::in_flight::Out;
+use super::proxy::{Due, Proxy};
 use super::{Key, Who};
 use myrtlegauge::interface::{Dispatch, End, Forward, HostIndex, Load, Note, Outcome, Place, span};
 use myrtlegauge_wire::protocol::{Fault, resp};
@@ -17,25 +17,25 @@
 /// Connections to one host, where descriptors allow.
 const LINKS_EACH: usize = 4;
 
-impl Dispatch for Desk {
+impl Dispatch for Proxy {
     fn forward(&mut self, place: Place, f: &Forward) {
-        let (now, most) = (self.now, self.manners.forwards);
-        let hand = self.hands.at(place);
-        let (fit, hop) = (hand.owed.is_some() && hand.out.is_none(), hand.hops);
-        hand.hops += 1;
-        let left = hand.until.saturating_sub(now);
+        let (now, most) = (self.now, self.limits.forwards);
+        let pending = self.in_flight.at(place);
+        let (fit, hop) = (pending.owed.is_some() && pending.out.is_none(), pending.hops);
+        pending.hops += 1;
+        let left = pending.until.saturating_sub(now);
         let until = now + if f.timeout.is_zero() { left } else { f.timeout.min(left) };
         self.counters.must(fit, "one forward out at a time, and only for a GET in hand");
         self.forwards += 1;
         let serial = self.forwards;
         let allowed = hop < most;
         let link = if allowed { self.link_to(f.host) } else { Err(End::NeverSent) };
-        self.hands.at(place).out =
+        self.in_flight.at(place).out =
             Some(Out { hop, serial, at: now, until, link: link.ok(), ends_at: None, to: *f });
         self.counters.forwards += 1;
         let kind = |host: HostIndex| Some(self.hosts[host].entry.kind);
         self.from_origin +=
-            u32::from(kind(f.source) == self.manners.origin_kind || kind(f.host) == self.manners.origin_kind);
+            u32::from(kind(f.source) == self.limits.origin_kind || kind(f.host) == self.limits.origin_kind);
         self.dues.push(Reverse((until, Due::Forward(place, serial))));
         match link {
             Ok(key) => {
@@ -51,7 +51,7 @@
     }
 
     fn withdraw(&mut self, place: Place, hop: u32) {
-        let Some(out) = self.hands.at(place).out.filter(|out| out.hop == hop) else { return };
+        let Some(out) = self.in_flight.at(place).out.filter(|out| out.hop == hop) else { return };
         self.counters.withdrawn += 1;
         self.give_up(place, &out);
         self.ended.push_back((place, out.serial, End::Withdrawn));
@@ -68,11 +68,11 @@
     }
 
     fn settled(&mut self, place: Place) {
-        let hand = self.hands.at(place);
-        let clear = hand.owed.is_none() && hand.out.is_none();
+        let pending = self.in_flight.at(place);
+        let clear = pending.owed.is_none() && pending.out.is_none();
         self.counters.must(clear, "a GET that is over has no forward out and its answer");
-        self.accounts.requests.take(self.hands.at(place).request.long);
-        self.hands.clear(place);
+        self.accounts.requests.take(self.in_flight.at(place).request.long);
+        self.in_flight.clear(place);
     }
 
     fn wake(&mut self, after: Duration) {
@@ -86,12 +86,12 @@
     }
 }
 
-impl Desk {
+impl Proxy {
     /// The connection that takes a forward to a host: the emptiest that is up, else one that is coming up, else a
     /// new one. Where all are in use one more is opened for later, up to a few: one that is spoilt or reset takes
     /// down what is out on it. It hurts a host that many dispatchers connect to, by a connection each.
     fn link_to(&mut self, host: HostIndex) -> Result<Key, End> {
-        let (links, streams, own) = (&self.links, self.manners.streams, &self.hosts[host].links);
+        let (links, streams, own) = (&self.links, self.limits.streams, &self.hosts[host].links);
         let open = own.iter().copied().filter(|&key| links[key].takes(streams));
         let first = open.min_by_key(|&key| (!links[key].up, links[key].out.len()));
         let Some(key) = first else { return self.open_link(host) };
@@ -129,18 +129,18 @@
         };
         self.links.insert(key, link);
         self.hosts[host].links.push(key);
-        self.dues.push(Reverse((now + self.manners.connect, Due::Connect(key))));
+        self.dues.push(Reverse((now + self.limits.connect, Due::Connect(key))));
         Ok(key)
     }
 
     /// Writes a forward as its host reads it; what the client sent goes on as it came.
     fn write_forward(&mut self, key: Key, place: Place) {
-        let Self { hands, hosts, links, door, pen, text, now, record, doubted, .. } = self;
-        let hand = hands.at(place);
-        let Some(out) = &mut hand.out else { return };
-        let (request, to) = (&hand.request, &out.to);
+        let Self { in_flight, hosts, links, codec, pen, text, now, record, doubted, .. } = self;
+        let pending = in_flight.at(place);
+        let Some(out) = &mut pending.out else { return };
+        let (request, to) = (&pending.request, &out.to);
         text.clear();
-        put(text, "lane=", &door.services[hand.get.ds]);
+        put(text, "lane=", &codec.services[pending.get.ds]);
         for (name, value) in [(",name=", &request.key), (",piece=", &request.part)] {
             if !value.is_empty() {
                 put(text, name, value);
@@ -196,7 +196,7 @@
         let flushed = self.links[key].connection.flushed();
         let mut told = end == End::Spoilt;
         for place in std::mem::take(&mut self.links[key].out) {
-            let Some(out) = self.hands.at(place).out.as_mut() else { continue };
+            let Some(out) = self.in_flight.at(place).out.as_mut() else { continue };
             out.link = None;
             let left = out.ends_at.is_some_and(|ends| ends <= flushed);
             let end = match (left, std::mem::replace(&mut told, true)) {
@@ -218,7 +218,7 @@
 
     /// A forward's time is up.
     pub fn overdue(&mut self, place: Place, serial: u64) {
-        let out = self.hands.at(place).out.filter(|out| out.serial == serial && out.link.is_some());
+        let out = self.in_flight.at(place).out.filter(|out| out.serial == serial && out.link.is_some());
         let Some(out) = out else { return };
         self.give_up(place, &out);
         let end = if out.ends_at.is_some() { End::TimedOut } else { End::NeverSent };
@@ -228,11 +228,11 @@
     /// Takes a forward off its connection and tells the host, if it was told of it.
     fn give_up(&mut self, place: Place, out: &Out) {
         let Some(key) = out.link else { return };
-        if let Some(out) = &mut self.hands.at(place).out {
+        if let Some(out) = &mut self.in_flight.at(place).out {
             out.link = None;
         }
-        let (now, connect, cancel) = (self.now, self.manners.connect, self.manners.cancel);
-        let Self { links, hands, pen, .. } = self;
+        let (now, connect, cancel) = (self.now, self.limits.connect, self.limits.cancel);
+        let Self { links, in_flight, pen, .. } = self;
         let link = &mut links[key];
         link.out.retain(|&other| other != place);
         link.used_at = now;
@@ -240,7 +240,7 @@
         // a word, and another connection tells. Hurts only by a handshake where a host is slow and all alone.
         link.retired |= out.ends_at.is_some() && link.heard_at <= out.at && now >= out.at + connect;
         if out.ends_at.is_some() && cancel {
-            resp::cancel(pen, &hands.at(place).request.id);
+            resp::cancel(pen, &in_flight.at(place).request.id);
             link.connection.push(pen.split().freeze());
             self.dirty.push(Who::Link(key));
         }
@@ -259,7 +259,7 @@
 
     fn read_link(&mut self, key: Key) -> Option<(Place, Outcome)> {
         loop {
-            let Self { links, hands, .. } = self;
+            let Self { links, in_flight, .. } = self;
             let link = links.get_mut(key)?;
             let answer = match link.connection.parse(resp::next) {
                 Ok(Some(answer)) => answer,
@@ -283,15 +283,15 @@
                 self.counters.in_parts += 1;
                 self.counters.in_parts_us += (self.now - since).as_micros() as u64;
             }
-            let at = link.out.iter().position(|&place| hands.at(place).request.id == answer.id);
+            let at = link.out.iter().position(|&place| in_flight.at(place).request.id == answer.id);
             let Some(at) = at else {
                 self.counters.strays += 1;
                 continue;
             };
             let place = link.out.swap_remove(at);
             link.used_at = self.now;
-            let ds = self.hands.at(place).get.ds;
-            let end = self.door.end(ds, &answer).unwrap_or_else(|| {
+            let ds = self.in_flight.at(place).get.ds;
+            let end = self.codec.end(ds, &answer).unwrap_or_else(|| {
                 self.fault(format_args!("a host answers {} and no more", answer.word.escape_ascii()));
                 End::Spoilt
             });
@@ -302,14 +302,14 @@
     }
 
     fn answered(&mut self, place: Place, mut end: End, answer: resp::Answer) -> Option<Outcome> {
-        let out = self.hands.at(place).out.take();
+        let out = self.in_flight.at(place).out.take();
         self.counters.must(out.is_some(), "an answer is matched to a forward that is out");
         let told = Told {
-            note: door::note(&answer),
-            source_wait: answer.field("fill").and_then(door::number).map_or(Duration::ZERO, span),
-            load: door::load(&answer),
+            note: codec::note(&answer),
+            source_wait: answer.field("fill").and_then(codec::number).map_or(Duration::ZERO, span),
+            load: codec::load(&answer),
         };
-        if end == End::Returned && self.hands.at(place).owed.is_some() {
+        if end == End::Returned && self.in_flight.at(place).owed.is_some() {
             if let Some(out) = &out {
                 self.log_late(place, out, &told);
             }
@@ -324,14 +324,14 @@
     /// One line, by the request's id, on a GET returned after its class's objective: where it went, from which
     /// source, how long the host waited for that source, and how long the forward took.
     fn log_late(&mut self, place: Place, out: &Out, told: &Told) {
-        let hand = self.hands.at(place);
-        let (in_hand, ds) = (hand.in_hand(self.now), hand.get.ds);
-        if in_hand <= self.manners.aim(ds) {
+        let pending = self.in_flight.at(place);
+        let (in_hand, ds) = (pending.in_hand(self.now), pending.get.ds);
+        if in_hand <= self.limits.aim(ds) {
             return;
         }
         let Some(unsaid) = self.may_log_end() else { return };
-        let hand = self.hands.at(place);
-        let (id, class, hops) = (String::from_utf8_lossy(&hand.request.id).into_owned(), ds, hand.hops);
+        let pending = self.in_flight.at(place);
+        let (id, class, hops) = (String::from_utf8_lossy(&pending.request.id).into_owned(), ds, pending.hops);
         let host = String::from_utf8_lossy(&self.hosts[out.to.host].name).into_owned();
         let source = String::from_utf8_lossy(&self.hosts[out.to.source].name).into_owned();
         let (in_hand_ms, forward_ms) = (in_hand.as_millis(), self.now.saturating_sub(out.at).as_millis());
@@ -343,7 +343,7 @@
     /// The next forward that ended here.
     pub fn next_ended(&mut self) -> Option<(Place, Outcome)> {
         while let Some((place, serial, end)) = self.ended.pop_front() {
-            let out = self.hands.at(place).out.take_if(|out| out.serial == serial);
+            let out = self.in_flight.at(place).out.take_if(|out| out.serial == serial);
             if let Some(out) = out {
                 return Some((place, self.outcome(place, &out, end, Told::default())));
             }
@@ -355,9 +355,9 @@
         let Told { note, source_wait, load } = told;
         self.counters.ended(end, note);
         self.filled_from_origin += u32::from(note == Note::FilledFromOrigin);
-        let (ds, spent) = (self.hands.at(place).get.ds, self.now - out.at);
+        let (ds, spent) = (self.in_flight.at(place).get.ds, self.now - out.at);
         if let Some(zones) = &mut self.zones {
-            let late = spent > self.manners.aim(ds);
+            let late = spent > self.limits.aim(ds);
             let filled = match note {
                 Note::Filled | Note::FilledFromOrigin => Some((ds, late)),
                 Note::SourceRefused | Note::SourceBroke | Note::OriginFailed => Some((ds, true)),
@@ -365,9 +365,9 @@
             };
             zones.saw(out.to.host, out.to.source, end, late && source_wait * 2 < spent, filled);
         }
-        let hand = self.hands.at(place);
-        hand.last = Some((out.to.host, end, note));
-        let closed = hand.owed.is_none();
+        let pending = self.in_flight.at(place);
+        pending.last = Some((out.to.host, end, note));
+        let closed = pending.owed.is_none();
         Outcome { hop: out.hop, end, spent, closed, note, source_wait, load }
     }
 }
--- a/crates/dispatcher/src/routing/hands.rs
+++ b/crates/dispatcher/src/routing/in_flight.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 #[derive(Default)]
-pub struct Hand {
+pub struct Pending {
     /// The client's connection and the request there; none once answered or abandoned.
     pub owed: Option<(Key, u16)>,
     pub id: u64,
@@ -21,7 +21,7 @@
     pub last: Option<(HostIndex, End, Note)>,
 }
 
-impl Hand {
+impl Pending {
     /// How long it has been in hand: it was taken a viewer timeout before its `until`.
     pub fn in_hand(&self, now: Duration) -> Duration {
         now.saturating_sub(self.until.saturating_sub(self.get.viewer_timeout))
@@ -43,27 +43,27 @@
 }
 
 #[derive(Default)]
-pub struct Hands {
-    places: Vec<Hand>,
+pub struct InFlight {
+    places: Vec<Pending>,
     ids: HashSet<u64>,
     pub owed: usize,
 }
 
-impl Hands {
-    pub fn open(&mut self, place: Place, hand: Hand) {
+impl InFlight {
+    pub fn open(&mut self, place: Place, pending: Pending) {
         if self.places.len() <= place {
-            self.places.resize_with(place + 1, Hand::default);
+            self.places.resize_with(place + 1, Pending::default);
         }
         self.owed += 1;
-        self.ids.insert(hand.id);
-        self.places[place] = hand;
+        self.ids.insert(pending.id);
+        self.places[place] = pending;
     }
 
-    pub fn peek(&self, place: Place) -> &Hand {
+    pub fn peek(&self, place: Place) -> &Pending {
         &self.places[place]
     }
 
-    pub fn at(&mut self, place: Place) -> &mut Hand {
+    pub fn at(&mut self, place: Place) -> &mut Pending {
         &mut self.places[place]
     }
 
@@ -81,6 +81,6 @@
 
     pub fn clear(&mut self, place: Place) {
         self.ids.remove(&self.places[place].id);
-        self.places[place] = Hand::default();
+        self.places[place] = Pending::default();
     }
 }
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -2,20 +2,19 @@
 
 mod answers;
 mod clients;
+mod codec;
 mod counters;
-mod desk;
-mod door;
 mod forwards;
-mod hands;
 mod hosts;
+mod in_flight;
 mod keyed;
 mod news;
+mod proxy;
 mod sockets;
 mod zones;
 
 use bytes::Bytes;
-pub use desk::{Desk, Room};
-use door::Door;
+use codec::Codec;
 pub use keyed::Key;
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListKind, Purged, Values};
@@ -25,12 +24,13 @@
 use myrtlegauge_wire::places::Places;
 use myrtlegauge_wire::protocol::changelog;
 use myrtlegauge_wire::transport::{Accounts, Hub, Listener, Owner};
+pub use proxy::{Proxy, Room};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 pub use zones::{SeenHost, ZoneNews, ZonePort, ZoneReport};
 
-/// What can stir in the loop.
+/// What the loop tells to be ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
     Listener,
@@ -40,7 +40,7 @@
 }
 
 /// What is known at the start.
-pub struct Posting<'a> {
+pub struct Startup<'a> {
     pub listen: SocketAddr,
     pub changelog: SocketAddr,
     pub known: changelog::Changes<'a>,
@@ -50,55 +50,58 @@
     /// The services to follow on zones; none in `run`.
     pub zones: Option<ZonePort>,
     /// This dispatcher as a member of its fleet; none in `run`.
-    pub member: Option<driver::Posting>,
+    pub member: Option<driver::Startup>,
 }
 
 pub struct Dispatcher {
     router: Router,
-    desk: Desk,
+    proxy: Proxy,
     member: Option<Member<Dispatcher>>,
 }
 
 impl Owner for Dispatcher {
     type Key = Who;
 
-    fn stirred(&mut self, who: Who) {
-        self.desk.stirred.push(who);
+    fn ready(&mut self, who: Who) {
+        self.proxy.ready.push(who);
     }
 }
 
 impl Dispatcher {
-    pub fn start(hub: Hub<Self>, mut posting: Posting<'_>) -> Result<Self, String> {
-        let router = Router::new(posting.facts, posting.seed)?;
+    pub fn start(hub: Hub<Self>, mut startup: Startup<'_>) -> Result<Self, String> {
+        let router = Router::new(startup.facts, startup.seed)?;
         let accounts = Rc::new(Accounts::default());
-        let listener = Listener::open(&hub, posting.listen, Who::Listener, &accounts)
-            .map_err(|e| format!("can't listen on {}: {e}", posting.listen))?;
-        let feed = Feed::new(posting.changelog, Who::Feed);
-        let names =
-            (Door::new(posting.facts)?, Places::new(posting.facts)?, desk::Manners::read(posting.facts));
-        let port = posting.zones.take();
+        let listener = Listener::open(&hub, startup.listen, Who::Listener, &accounts)
+            .map_err(|e| format!("can't listen on {}: {e}", startup.listen))?;
+        let feed = Feed::new(startup.changelog, Who::Feed);
+        let names = (
+            Codec::new(startup.facts)?,
+            Places::new(startup.facts)?,
+            proxy::ConnectionLimits::read(startup.facts),
+        );
+        let port = startup.zones.take();
         let (news, member_hub) = (hub.clone(), hub.clone());
-        let mut desk = Desk::new(hub, listener, accounts, feed, names, posting.room, Clock::start());
+        let mut proxy = Proxy::new(hub, listener, accounts, feed, names, startup.room, Clock::start());
         if let Some(ZonePort { news: heard, report, every }) = port {
             let into = news.insert_source(heard, |event, (), dispatcher: &mut Self| {
                 if let calloop::channel::Event::Msg(news) = event {
-                    dispatcher.desk.zone_heard.push(news);
+                    dispatcher.proxy.zone_heard.push(news);
                 }
             });
             into.map_err(|e| format!("news of zones can't be heard: {e}"))?;
-            let names = desk.places.zones().to_vec();
-            desk.zones = Some(zones::Zones::new(names, every, report, desk.now));
-            desk.zones_due = desk.now;
+            let names = proxy.places.zones().to_vec();
+            proxy.zones = Some(zones::Zones::new(names, every, report, proxy.now));
+            proxy.zones_due = proxy.now;
         }
-        let member = posting.member.as_ref().map(|told| Member::start(&member_hub, told, Self::member_told));
+        let member = startup.member.as_ref().map(|told| Member::start(&member_hub, told, Self::member_told));
         let member = member.transpose().map_err(|e| e.to_string())?;
-        let mut started = Self { router, desk, member };
-        let now = started.desk.now;
-        started.router.round(now, &mut started.desk, |round| {
-            let last = posting.known.last;
-            tell_changes(round, posting.known, ListKind::Kept);
+        let mut started = Self { router, proxy, member };
+        let now = started.proxy.now;
+        started.router.round(now, &mut started.proxy, |round| {
+            let last = startup.known.last;
+            tell_changes(round, startup.known, ListKind::Kept);
             // A start is told all there was; what it leaves out is of no use any more.
-            round.desk().told_up_to(last);
+            round.writer().told_up_to(last);
         });
         Ok(started)
     }
@@ -110,79 +113,79 @@
             (view.epoch, view.here, view.doubted, view.gone, view.known);
         let (reach, change) = (view.reach, told.change);
         log::info!(epoch, here, doubted, gone, known, reach:?, sharers, change:?; "members");
-        self.desk.sharers = Some(sharers);
+        self.proxy.sharers = Some(sharers);
     }
 
     pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.desk.listener.address()
+        self.proxy.listener.address()
     }
 
     /// How long the loop may sleep.
     pub fn patience(&self) -> Duration {
-        self.desk.next_due().saturating_sub(self.desk.clock.now())
+        self.proxy.next_due().saturating_sub(self.proxy.clock.now())
     }
 
     /// All that one turn of the loop brought, as one round; and another at once where one ended forwards here.
     pub fn turn(&mut self) {
-        let Self { router, desk, .. } = self;
-        desk.read();
-        desk.hear_zones();
-        desk.write();
-        while desk.has_news() {
+        let Self { router, proxy, .. } = self;
+        proxy.read();
+        proxy.hear_zones();
+        proxy.write();
+        while proxy.has_news() {
             let began = Instant::now();
-            let now = desk.now;
-            router.round(now, desk, |round| {
-                while let Some(body) = round.desk().next_changes() {
+            let now = proxy.now;
+            router.round(now, proxy, |round| {
+                while let Some(body) = round.writer().next_changes() {
                     tell_polled(round, &body);
                 }
-                let doubted = round.desk().doubted;
+                let doubted = round.writer().doubted;
                 round.doubted(doubted);
-                if let Some(sharers) = round.desk().sharers.take() {
+                if let Some(sharers) = round.writer().sharers.take() {
                     round.shared(sharers as f64);
                 }
-                let moved = round.desk().zones_moved();
+                let moved = round.writer().zones_moved();
                 if !moved.is_empty() {
                     round.listed(ListKind::Changes, &moved);
                 }
-                while let Some((place, outcome)) = round.desk().next_answered() {
+                while let Some((place, outcome)) = round.writer().next_answered() {
                     round.outcome(place, &outcome);
                 }
-                while let Some((place, outcome)) = round.desk().next_ended() {
+                while let Some((place, outcome)) = round.writer().next_ended() {
                     round.outcome(place, &outcome);
                 }
-                while let Some(place) = round.desk().next_abandoned() {
+                while let Some(place) = round.writer().next_abandoned() {
                     round.abandoned(place);
                 }
                 let mut place = round.next_place();
-                while let Some(get) = round.desk().next_get(place) {
+                while let Some(get) = round.writer().next_get(place) {
                     round.take(get);
                     place = round.next_place();
                 }
-                if round.desk().wakes() {
+                if round.writer().wakes() {
                     round.woken();
                 }
             });
-            desk.write();
-            let counters = &mut desk.counters;
+            proxy.write();
+            let counters = &mut proxy.counters;
             counters.rounds += 1;
             counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
-            desk.now = desk.clock.now();
+            proxy.now = proxy.clock.now();
         }
-        desk.tell_origin();
-        desk.look_at_return();
-        if desk.tidy() {
+        proxy.tell_origin();
+        proxy.look_at_return();
+        if proxy.tidy() {
             // What the module believes to be out at a host is what stands on its connections.
-            for host in 0..desk.hosts.len() {
-                let holds = router.out_at(host) == desk.out_at(host) as f64;
-                desk.counters.must(holds, "forwards out at a host are those on its connections");
+            for host in 0..proxy.hosts.len() {
+                let holds = router.out_at(host) == proxy.out_at(host) as f64;
+                proxy.counters.must(holds, "forwards out at a host are those on its connections");
             }
         }
-        desk.count_holds();
+        proxy.count_holds();
     }
 
     /// Takes what still comes for the time that a restart allows, then ends once nothing is in hand.
     pub fn stop(&mut self) {
-        self.desk.stop();
+        self.proxy.stop();
         if let Some(member) = self.member.clone() {
             member.leave(self);
         }
@@ -190,67 +193,67 @@
 
     /// Follows the change log at another address, where a later configuration could be used.
     pub fn follow(&mut self, changelog: Option<SocketAddr>) {
-        self.desk.counters.reread += u64::from(changelog.is_some());
-        self.desk.counters.reread_failed += u64::from(changelog.is_none());
+        self.proxy.counters.reread += u64::from(changelog.is_some());
+        self.proxy.counters.reread_failed += u64::from(changelog.is_none());
         if let Some(changelog) = changelog {
-            self.desk.feed.follow(changelog, self.desk.now);
+            self.proxy.feed.follow(changelog, self.proxy.now);
         }
     }
 
     pub fn is_done(&self) -> bool {
-        self.desk.is_done()
+        self.proxy.is_done()
     }
 
     /// GETs taken so far.
     pub fn taken(&self) -> u64 {
-        self.desk.counters.taken
+        self.proxy.counters.taken
     }
 
     /// Bytes in all buffers.
     pub fn buffered(&self) -> usize {
-        self.desk.accounts.buffered.level()
+        self.proxy.accounts.buffered.level()
     }
 
     /// Places of hosts, those that can be taken by a new one included.
     pub fn hosts(&self) -> usize {
-        self.desk.hosts.len()
+        self.proxy.hosts.len()
     }
 
     pub fn report(&self) {
-        self.desk.report();
+        self.proxy.report();
         if let Some(member) = &self.member {
             log::info!("{}", member.line());
         }
     }
 }
 
-fn tell_polled(round: &mut Round<'_, Desk>, body: &Bytes) {
-    let before = round.desk().last_change();
+fn tell_polled(round: &mut Round<'_, Proxy>, body: &Bytes) {
+    let before = round.writer().last_change();
     match serde_json::from_slice(body) {
         Ok(changes) => {
             tell_changes(round, changes, ListKind::Whole);
-            round.desk().polled(before);
+            round.writer().polled(before);
         }
-        Err(e) => round.desk().unread(format_args!("an answer of the change log can't be read: {e}")),
+        Err(e) => round.writer().unread(format_args!("an answer of the change log can't be read: {e}")),
     }
 }
 
 /// Each numbered event once, in order; `whole` is what a whole list counts as.
-fn tell_changes(round: &mut Round<'_, Desk>, changes: changelog::Changes<'_>, whole: ListKind) {
+fn tell_changes(round: &mut Round<'_, Proxy>, changes: changelog::Changes<'_>, whole: ListKind) {
     for change in &changes.results {
-        match round.desk().is_next(change.number) {
+        match round.writer().is_next(change.number) {
             Some(true) => {}
             Some(false) => continue,
             None => return,
         }
         if let Some(fleet) = &change.fleet {
-            let entries = round.desk().listed(&fleet.endpoints, fleet.snapshot);
+            let entries = round.writer().listed(&fleet.endpoints, fleet.snapshot);
             round.listed(if fleet.snapshot { whole } else { ListKind::Changes }, &entries);
         }
         if let Some(purge) = &change.invalidate {
-            let object = purge.object.as_deref().and_then(|id| door::hex(id.as_bytes()));
+            let object = purge.object.as_deref().and_then(|id| codec::hex(id.as_bytes()));
             let named = object.map(Purged::Object).or(purge.bucket.map(Purged::Group));
-            if let Some((named, age)) = round.desk().purged(named, purge.unix_ms) {
+            if let Some((named, age)) = round.writer().purged(named, purge.unix_ms) {
                 round.purged(named, age);
             }
         }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -1,8 +1,8 @@
 //! The change log's news, as the module takes it: each event once, in order.
 
-use super::desk::Desk;
-use super::hands::{Hand, Out};
 use super::hosts::Host;
+use super::in_flight::{Out, Pending};
+use super::proxy::Proxy;
 use bytes::Bytes;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
 use myrtlegauge_wire::feed::Step;
@@ -18,7 +18,7 @@
 /// After the longest wait of any client, for what still ends then.
 const LET_GO: Duration = Duration::from_millis(1000);
 
-impl Desk {
+impl Proxy {
     pub fn next_changes(&mut self) -> Option<Bytes> {
         if !std::mem::take(&mut self.feed_heard) {
             return None;
@@ -103,9 +103,9 @@
         }
         self.counters.purges += 1;
         let named = named?;
-        self.decide_anew(|hand, _| match named {
-            Purged::Object(object) => hand.get.object == object,
-            Purged::Group(group) => hand.get.group == group,
+        self.decide_anew(|pending, _| match named {
+            Purged::Object(object) => pending.get.object == object,
+            Purged::Group(group) => pending.get.group == group,
         });
         Some((named, self.now.saturating_sub(self.clock.span(unix_ms))))
     }
@@ -165,7 +165,7 @@
     /// Gives back what a host had that is gone for longer than any GET lasts: by then nothing in hand or in the
     /// module names its index, and a new host may take it.
     pub fn forget_gone(&mut self) {
-        let longest = self.manners.longest + LET_GO;
+        let longest = self.limits.longest + LET_GO;
         for host in &mut self.hosts {
             let over = host.gone_at.is_some_and(|at| self.now >= at + longest);
             if over && host.links.is_empty() && !host.name.is_empty() {
@@ -198,17 +198,17 @@
 
     /// What still waits for a connection was decided before this news: it never ran and is decided again. Guards
     /// drains and purges, whose graces may be shorter than a connection takes. It hurts by one forward of a GET.
-    pub fn decide_anew(&mut self, concerned: impl Fn(&Hand, &Out) -> bool) {
+    pub fn decide_anew(&mut self, concerned: impl Fn(&Pending, &Out) -> bool) {
         for (_, link) in self.links.iter_mut() {
             if link.up {
                 continue;
             }
-            let (hands, ended) = (&mut self.hands, &mut self.ended);
+            let (in_flight, ended) = (&mut self.in_flight, &mut self.ended);
             link.out.retain(|&place| {
-                let hand = hands.at(place);
-                let out = hand.out.filter(|out| concerned(hand, out));
+                let pending = in_flight.at(place);
+                let out = pending.out.filter(|out| concerned(pending, out));
                 if let Some(out) = out {
-                    hand.out = Some(Out { link: None, ..out });
+                    pending.out = Some(Out { link: None, ..out });
                     ended.push_back((place, out.serial, End::NeverSent));
                 }
                 out.is_none()
--- a/crates/dispatcher/src/routing/desk.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -1,10 +1,10 @@
-//! The books between the sockets and the module: who is connected, what is in hand, what is due.
+//! What stands between the sockets and the module: who is connected, what is in hand, what is due.
 
 use super::clients::Client;
+use super::codec::{self, Codec};
 use super::counters::Counters;
-use super::door::{self, Door};
-use super::hands::Hands;
 use super::hosts::{Host, Link};
+use super::in_flight::InFlight;
 use super::keyed::Keyed;
 use super::zones::{ZoneNews, Zones};
 use super::{Dispatcher, Key, Who};
@@ -51,7 +51,7 @@
 }
 
 /// What the settings say of connections.
-pub struct Manners {
+pub struct ConnectionLimits {
     pub streams: usize,
     pub idle: Duration,
     pub connect: Duration,
@@ -74,24 +74,24 @@
     Connect(Key),
 }
 
-pub struct Desk {
+pub struct Proxy {
     pub hub: Hub<Dispatcher>,
     pub accounts: Rc<Accounts>,
     pub counters: Counters,
     pub clock: Clock,
     /// The time of this round.
     pub now: Duration,
-    pub door: Door,
+    pub codec: Codec,
     pub places: Places,
-    pub manners: Manners,
-    pub hands: Hands,
+    pub limits: ConnectionLimits,
+    pub in_flight: InFlight,
     pub hosts: Vec<Host>,
     pub links: Keyed<Link>,
     pub clients: Keyed<Client>,
     pub forwards: u64,
     /// What the loop said, and what waits because buffers are full.
-    pub stirred: Vec<Who>,
-    pub stirring: Vec<Who>,
+    pub ready: Vec<Who>,
+    pub woken: Vec<Who>,
     /// Connections with bytes to be read by a parser, and with bytes to go out.
     pub heard_links: VecDeque<Key>,
     pub heard_clients: VecDeque<Key>,
@@ -162,7 +162,7 @@
     }
 }
 
-impl Manners {
+impl ConnectionLimits {
     /// A class's latency objective; none has no end.
     pub fn aim(&self, ds: usize) -> Duration {
         self.aims.get(ds).copied().unwrap_or(Duration::MAX)
@@ -185,20 +185,20 @@
             connect: values::span(told, "limits.connect_timeout_ms").unwrap_or_default(),
             cancel: flag(told, "limits.cancel"),
             forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
-            longest: span(if longest > 0.0 { longest } else { door::BUDGET_MOST }),
+            longest: span(if longest > 0.0 { longest } else { codec::BUDGET_MOST }),
             aims,
             origin_kind: number(told, "domain.master_kind").ok().map(|n| n as usize),
         }
     }
 }
 
-impl Desk {
+impl Proxy {
     pub fn new(
         hub: Hub<Dispatcher>,
         listener: Listener,
         accounts: Rc<Accounts>,
         feed: Feed<Dispatcher>,
-        (door, places, manners): (Door, Places, Manners),
+        (codec, places, limits): (Codec, Places, ConnectionLimits),
         room: Room,
         clock: Clock,
     ) -> Self {
@@ -207,16 +207,16 @@
             accounts,
             counters: Counters::default(),
             now: clock.now(),
-            door,
+            codec,
             places,
-            manners,
-            hands: Hands::default(),
+            limits,
+            in_flight: InFlight::default(),
             hosts: Vec::new(),
             links: Keyed::new(),
             clients: Keyed::new(),
             forwards: 0,
-            stirred: Vec::new(),
-            stirring: Vec::new(),
+            ready: Vec::new(),
+            woken: Vec::new(),
             heard_links: VecDeque::new(),
             heard_clients: VecDeque::new(),
             dirty: Vec::new(),
@@ -317,8 +317,8 @@
 
     /// Notes a GET that was not returned, by what held it back.
     pub fn note_lost(&mut self, place: Place) {
-        let hand = self.hands.at(place);
-        let why = match hand.last {
+        let pending = self.in_flight.at(place);
+        let why = match pending.last {
             _ if !self.listed => Held::List,
             None => Held::Host,
             Some((_, End::Miss, _)) => Held::Source,
@@ -343,7 +343,7 @@
     pub fn next_due(&self) -> Duration {
         if !self.zone_heard.is_empty()
             || self.sharers.is_some()
-            || !self.stirred.is_empty() && !self.is_full_of_requests()
+            || !self.ready.is_empty() && !self.is_full_of_requests()
         {
             return Duration::ZERO;
         }
@@ -386,18 +386,19 @@
     pub fn stop(&mut self) {
         if self.stops_at.is_none() {
             self.stops_at = Some(self.clock.now() + STOPS_AFTER);
-            log::info!("asked to end; {} GETs in hand", self.hands.owed);
+            log::info!("asked to end; {} GETs in hand", self.in_flight.owed);
         }
     }
 
     pub fn is_done(&self) -> bool {
-        let quiet = || self.hands.owed == 0 && self.clients.iter().all(|(_, c)| c.connection.waiting() == 0);
+        let quiet =
+            || self.in_flight.owed == 0 && self.clients.iter().all(|(_, c)| c.connection.waiting() == 0);
         self.stops_at.is_some_and(|at| self.now >= at) && quiet()
     }
 
     pub fn count_holds(&mut self) {
         let c = &self.counters;
-        let settled = c.returned + c.shed + c.errored + c.abandoned + self.hands.owed as u64;
+        let settled = c.returned + c.shed + c.errored + c.abandoned + self.in_flight.owed as u64;
         let holds = c.taken == settled;
         self.counters.must(holds, "taken = answered + abandoned + in hand");
     }
@@ -422,7 +423,7 @@
              peaks: {} connections, {} bytes in buffers, {} in requests; bytes in {} out {}",
             self.counters,
             self.return_line(),
-            self.hands.owed,
+            self.in_flight.owed,
             self.clients.len(),
             self.links.len(),
             accounts.descriptors.peak(),
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -1,8 +1,8 @@
-//! The desk's sockets: what is read and written in a turn, who is let in, who is closed.
+//! The proxy's sockets: what is read and written in a turn, who is let in, who is closed.
 
 use super::clients::Client;
-use super::desk::{Desk, TIDY_EVERY};
 use super::hosts::Link;
+use super::proxy::{Proxy, TIDY_EVERY};
 use super::{Dispatcher, Key, Who};
 use myrtlegauge::interface::End;
 use myrtlegauge_wire::transport::{Connection, Reading};
@@ -16,47 +16,47 @@
 /// Time in which an answer that has begun becomes whole; hosts write theirs in one go.
 const PART_MOST: Duration = Duration::from_millis(250);
 
-impl Desk {
-    /// Reads what came on all that stirred, as far as buffers allow.
+impl Proxy {
+    /// Reads what came on all that was ready, as far as buffers allow.
     pub fn read(&mut self) {
         let before = std::mem::replace(&mut self.now, self.clock.now());
         self.look_for_gap(before);
-        std::mem::swap(&mut self.stirred, &mut self.stirring);
-        for i in 0..self.stirring.len() {
-            let who = self.stirring[i];
+        std::mem::swap(&mut self.ready, &mut self.woken);
+        for i in 0..self.woken.len() {
+            let who = self.woken[i];
             let again = match who {
                 Who::Listener => {
                     self.accepting = true;
                     false
                 }
-                Who::Client(key) => self.stir_client(key),
-                Who::Link(key) => self.stir_link(key),
+                Who::Client(key) => self.on_client_ready(key),
+                Who::Link(key) => self.on_link_ready(key),
                 Who::Feed => {
                     self.feed_heard = true;
-                    self.feed.stir(&mut self.shared)
+                    self.feed.on_ready(&mut self.shared)
                 }
             };
-            self.stirred.extend(again.then_some(who));
+            self.ready.extend(again.then_some(who));
         }
-        self.stirring.clear();
+        self.woken.clear();
         self.accept();
         self.fall_due();
         self.counters.polls_failed += u64::from(self.feed.tend(&self.hub, &self.accounts, self.now));
     }
 
     /// True: there is more to read, now or once buffers have room.
-    fn stir_client(&mut self, key: Key) -> bool {
+    fn on_client_ready(&mut self, key: Key) -> bool {
         let full = self.is_full_of_requests();
         let Self { clients, shared, now, .. } = self;
         let Some(client) = clients.get_mut(key) else { return false };
-        let (ended, again) = stir(&mut client.connection, shared, full, CLIENT_MOST);
+        let (ended, again) = on_ready(&mut client.connection, shared, full, CLIENT_MOST);
         client.ended |= ended;
         client.moved_at = *now;
         self.heard_clients.push_back(key);
         again
     }
 
-    fn stir_link(&mut self, key: Key) -> bool {
+    fn on_link_ready(&mut self, key: Key) -> bool {
         let Some(link) = self.links.get_mut(key) else { return false };
         if !link.up {
             match link.connection.is_up() {
@@ -70,7 +70,7 @@
         let Self { links, shared, now, .. } = self;
         let link = &mut links[key];
         let before = link.connection.unread();
-        let (ended, again) = stir(&mut link.connection, shared, full, HOST_MOST);
+        let (ended, again) = on_ready(&mut link.connection, shared, full, HOST_MOST);
         link.ended |= ended;
         if link.connection.unread() > before {
             link.heard_at = *now;
@@ -102,7 +102,7 @@
                     if let Ok(connection) = Connection::accepted(&self.hub, stream, who, &self.accounts) {
                         self.clients.insert(key, Client::new(connection, self.now));
                         self.counters.clients += 1;
-                        self.stirred.push(who);
+                        self.ready.push(who);
                     }
                 }
                 Ok(None) => self.accepting = false,
@@ -157,7 +157,7 @@
             return false;
         }
         self.tidy_at = self.now + TIDY_EVERY;
-        let (now, idle, longest) = (self.now, self.manners.idle, self.manners.longest);
+        let (now, idle, longest) = (self.now, self.limits.idle, self.limits.longest);
         let done = |link: &Link| {
             link.up
                 && link.out.is_empty()
@@ -225,7 +225,12 @@
 }
 
 /// Writes what waits and reads what came; whether the connection has ended, and whether there is more to read.
-fn stir(connection: &mut Connection<Dispatcher>, shared: &mut [u8], full: bool, most: usize) -> (bool, bool) {
+fn on_ready(
+    connection: &mut Connection<Dispatcher>,
+    shared: &mut [u8],
+    full: bool,
+    most: usize,
+) -> (bool, bool) {
     let broken = connection.flush().is_err();
     if full && !broken {
         return (false, true);
--- a/crates/dispatcher/src/routing/zones.rs
+++ b/crates/dispatcher/src/routing/zones.rs
@@ -1,7 +1,7 @@
 //! The fleet's verdicts on zones at this dispatcher: news come in, evidence goes out, and the list that the module is told
 //! bears what holds now. Only where an operator file names services to follow; never in `run`.
 
-use super::desk::Desk;
+use super::proxy::Proxy;
 use myrtlegauge::interface::{End, Entry, HostIndex, Standing};
 use myrtlegauge_zones::{Belief, Own, Saw, Verdict};
 use std::net::SocketAddr;
@@ -137,7 +137,7 @@
 /// Keeps the part that is shed apart from the parts that hosts take.
 const OVER: u64 = 0x51ed_270b_27d1_e2a5;
 
-impl Desk {
+impl Proxy {
     /// What services said since the last turn.
     pub fn hear_zones(&mut self) {
         for news in std::mem::take(&mut self.zone_heard) {
@@ -195,13 +195,13 @@
     /// Counts forwards that a host has not answered, nor anything else since, for longer than their objective: one that
     /// is silent ends nothing until clients give up, and nothing more is sent there meanwhile.
     fn see_silent(&mut self) {
-        let (now, manners) = (self.now, &self.manners);
+        let (now, limits) = (self.now, &self.limits);
         let Some(zones) = &mut self.zones else { return };
         for (_, link) in self.links.iter() {
             let silent = link.out.iter().filter(|&&place| {
-                let hand = self.hands.peek(place);
-                let aim = manners.aim(hand.get.ds);
-                hand.out.is_some_and(|out| link.heard_at <= out.at && now - out.at > aim)
+                let pending = self.in_flight.peek(place);
+                let aim = limits.aim(pending.get.ds);
+                pending.out.is_some_and(|out| link.heard_at <= out.at && now - out.at > aim)
             });
             let count = silent.count() as u64;
             if count > 0 {
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod stream;
 
 use myrtlegauge_dispatcher::program;
-use myrtlegauge_dispatcher::routing::{Posting, Room, ZonePort};
+use myrtlegauge_dispatcher::routing::{Room, Startup, ZonePort};
 use myrtlegauge_membership::driver;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_wire::protocol::changelog::Changes;
@@ -31,7 +31,7 @@
         let report = Box::new(move |report| drop(reports.send(std::sync::Arc::new(report))));
         Some(ZonePort { news, report, every: told.reports_every })
     };
-    let member = told.peers.as_ref().map(|peers| driver::Posting {
+    let member = told.peers.as_ref().map(|peers| driver::Startup {
         name: told.name.clone(),
         fleet: peers.fleet.clone(),
         listen: peers.listen,
@@ -39,7 +39,7 @@
         peers: peers.peers.clone(),
         told: peers.told,
     });
-    let posting = Posting {
+    let startup = Startup {
         listen: told.listen,
         changelog: told.change_log,
         known: Changes { last: 0, results: Vec::new() },
@@ -49,7 +49,7 @@
         zones,
         member,
     };
-    program::serve(&told.name, posting, move || change_log(&path))
+    program::serve(&told.name, startup, move || change_log(&path))
 }
 
 fn change_log(path: &Path) -> Result<SocketAddr, String> {
--- a/crates/membership/src/driver.rs
+++ b/crates/membership/src/driver.rs
@@ -24,7 +24,7 @@
 
 /// What an operator tells of this member.
 #[derive(Clone, Debug)]
-pub struct Posting {
+pub struct Startup {
     pub name: String,
     pub fleet: String,
     pub listen: SocketAddr,
@@ -71,10 +71,10 @@
     /// An address that can't be listened on, a name that can't be told, a loop that takes no more sources.
     pub fn start(
         hub: &LoopHandle<'static, D>,
-        posting: &Posting,
+        startup: &Startup,
         heard: impl Fn(&mut D, Told<'_>) + 'static,
     ) -> Result<Self, MembershipError> {
-        let listen = posting.listen;
+        let listen = startup.listen;
         let socket =
             |what: &'static str| move |why: io::Error| MembershipError::Socket { what, at: listen, why };
         let datagrams = UdpSocket::bind(listen).map_err(socket("datagrams at"))?;
@@ -82,13 +82,13 @@
         let listener = listening(listen).map_err(socket("looks at"))?;
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let myself = Myself {
-            name: posting.name.clone(),
-            at: posting.reached_at.unwrap_or(listen),
-            fleet: posting.fleet.clone(),
+            name: startup.name.clone(),
+            at: startup.reached_at.unwrap_or(listen),
+            fleet: startup.fleet.clone(),
             generation: unix_ms,
         };
         let core =
-            Membership::new(myself, posting.peers.clone(), posting.told, fastrand::u64(..), Duration::ZERO)?;
+            Membership::new(myself, startup.peers.clone(), startup.told, fastrand::u64(..), Duration::ZERO)?;
         let reader = datagrams.try_clone().map_err(socket("datagrams at"))?;
         let member = Self(Rc::new(RefCell::new(Inner {
             core,
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -23,7 +23,7 @@
 pub struct Feed<O: Owner> {
     address: SocketAddr,
     host: String,
-    /// How the owner knows that it stirred.
+    /// How the owner knows that it was ready.
     key: O::Key,
     connection: Option<Connection<O>>,
     asked: bool,
@@ -171,7 +171,7 @@
     }
 
     /// Reads and writes what can be; true: there is more to read.
-    pub fn stir(&mut self, shared: &mut [u8]) -> bool {
+    pub fn on_ready(&mut self, shared: &mut [u8]) -> bool {
         let Some(connection) = &mut self.connection else { return false };
         let reading = match connection.is_up().and_then(|up| connection.flush().map(|()| up)) {
             Ok(true) => connection.read(shared, READ_MOST),
--- a/crates/wire/src/transport/connection.rs
+++ b/crates/wire/src/transport/connection.rs
@@ -1,5 +1,5 @@
 //! One connection: a socket that never blocks, what came in and was not yet read by a parser, and what waits to go
-//! out. Its callback in the loop only tells the owner that it stirred.
+//! out. Its callback in the loop only tells the owner that it is ready.
 
 use super::{Accounts, Hub, Owner, watch};
 use bytes::{Bytes, BytesMut};
--- a/crates/wire/src/transport/mod.rs
+++ b/crates/wire/src/transport/mod.rs
@@ -27,7 +27,7 @@
 ) -> io::Result<RegistrationToken> {
     let source = Generic::new(Rc::clone(socket), interest, Mode::Edge);
     let watched = hub.insert_source(source, move |_, _, owner: &mut O| {
-        owner.stirred(key);
+        owner.ready(key);
         Ok(PostAction::Continue)
     });
     watched.map_err(|e| io::Error::other(e.error))
@@ -37,5 +37,5 @@
 pub trait Owner: Sized + 'static {
     type Key: Copy + 'static;
 
-    fn stirred(&mut self, who: Self::Key);
+    fn ready(&mut self, who: Self::Key);
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -447,7 +447,7 @@
 
 impl<D: Dispatch> Round<'_, D> {
     /// The writer, for the adapter's own books.
-    pub fn desk(&mut self) -> &mut D {
+    pub fn writer(&mut self) -> &mut D {
         self.out
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,7 +4,7 @@
 
 /// Place of a GET in hand; reused once `Dispatch::settled` has named it.
 pub type Place = usize;
-/// Small index of a cache host, parent or origin, given at the door.
+/// Small index of a cache host, parent or origin, given where names are read.
 pub type HostIndex = usize;
 
 pub use crate::values::Values;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use calloop::EventLoop;
 use myrtlegauge::decide::Router;
 use myrtlegauge::interface::*;
-use myrtlegauge_dispatcher::routing::{Dispatcher, Posting, Room};
+use myrtlegauge_dispatcher::routing::{Dispatcher, Room, Startup};
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 use std::collections::BTreeMap;
@@ -242,7 +242,7 @@
             "endpoints": hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>()}}]})
         .to_string();
         let turns = EventLoop::try_new().unwrap();
-        let posting = Posting {
+        let startup = Startup {
             zones: None,
             member: None,
             listen: ([127, 0, 0, 1], 0).into(),
@@ -252,7 +252,7 @@
             seed: 7,
             room,
         };
-        let dispatcher = Dispatcher::start(turns.handle(), posting).unwrap();
+        let dispatcher = Dispatcher::start(turns.handle(), startup).unwrap();
         let listen = dispatcher.address().unwrap();
         let (clients, last, deaf, trace) = (Vec::new(), String::new(), false, String::new());
         let mut rig = Self { turns, dispatcher, listen, hosts, changelog, clients, last, deaf, trace };
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,7 @@
 
 use common::{HOSTS, Rig, record, request, settings};
 use insta::assert_snapshot;
-use myrtlegauge_dispatcher::program::{Told, moved};
+use myrtlegauge_dispatcher::program::{ConfigFile, moved};
 use myrtlegauge_dispatcher::routing::{Dispatcher, Room};
 use serde_json::json;
 
@@ -470,8 +470,8 @@
     let start = |told: &serde_json::Value| {
         let turns = calloop::EventLoop::try_new().map_err(|e| e.to_string())?;
         let text = told.to_string();
-        let told = Told::parse(&text)?;
-        Dispatcher::start(turns.handle(), told.posting()?).map(|_| ())
+        let told = ConfigFile::parse(&text)?;
+        Dispatcher::start(turns.handle(), told.startup()?).map(|_| ())
     };
     start(&good).unwrap();
     let mut faults = Vec::new();
