--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -257,7 +257,7 @@
         self.counters.polls_lost += u64::from(feed.tend(&self.hub, &self.accounts, self.now));
         let mut more = std::mem::take(&mut self.feed_stirred);
         while more {
-            more = feed.on_ready(&mut self.shared);
+            more = feed.on_ready(&mut self.shared, self.now);
             loop {
                 match feed.next(self.now) {
                     Ok(Some(body)) => self.polled(&mut feed, &body),
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -1,52 +1,82 @@
 //! The clients' side of the proxy: requests in, answers out.
 
-use super::clients::Answer;
+use super::clients::{Answer, Client, Owed};
 use super::codec;
 use super::in_flight::Pending;
-use super::proxy::Proxy;
+use super::lifecycle::State;
+use super::proxy::{Asked, Proxy};
 use super::{Key, Who};
 use bytes::Bytes;
 use myrtlegauge::interface::{Get, Place};
 use myrtlegauge_wire::protocol::Fault;
 use myrtlegauge_wire::protocol::fastcgi::{self, Message, Request};
+use std::time::Duration;
 
 impl Proxy {
-    /// Reads on with one client until a GET is whole; none once nothing more has come.
-    pub fn next_request(&mut self, key: Key, place: Place) -> Option<Get> {
-        loop {
-            let Self { clients, accounts, now, .. } = self;
-            let client = clients.get_mut(key)?;
-            match client.next(&accounts.requests, *now) {
-                Ok(Some(Message::Request(request))) => {
-                    if let Some(get) = self.asked(key, place, request) {
-                        return Some(get);
-                    }
-                }
-                Ok(Some(Message::Reply(bytes))) => {
-                    client.connection.push(bytes);
-                    self.dirty.push(Who::Client(key));
+    /// Reads all that came from clients. Whoever has left or called off is known before anything that came with it, or was
+    /// decided meanwhile, is sent on.
+    pub fn parse_clients(&mut self) {
+        while let Some(key) = self.heard_clients.pop_front() {
+            while self.parse_client(key) {}
+        }
+    }
+
+    /// The next message of a client; false: nothing more has come.
+    fn parse_client(&mut self, key: Key) -> bool {
+        let (full, share) = (self.is_full_of_requests(), self.share_of_requests());
+        let closing = self.lifecycle.state() == State::Closing;
+        let Self { clients, accounts, now, counters, dirty, .. } = self;
+        let Some(client) = clients.get_mut(key) else { return false };
+        match client.next(&accounts.requests, *now) {
+            Ok(Some(Message::Request(request))) => {
+                let Request { number, keep_conn, long, .. } = request;
+                client.asked = true;
+                client.last |= !keep_conn;
+                if closing || full && client.holds() + long > share {
+                    // It was never sent on: trying again, elsewhere, is harmless.
+                    counters.refused += 1;
+                    client.connection.push(fastcgi::end_overloaded(number));
+                    dirty.push(Who::Client(key));
+                } else {
+                    accounts.requests.add(long);
+                    client.open.push((number, Owed { place: None, long }));
+                    self.asked.push_back(Asked { key, request });
                 }
-                Ok(Some(Message::Abort(number))) => {
-                    if let Some(place) = client.close(number) {
-                        client.connection.push(fastcgi::end_aborted(number));
-                        self.abandon(place);
-                        self.dirty.push(Who::Client(key));
-                    }
+            }
+            Ok(Some(Message::Reply(bytes))) => {
+                client.connection.push(bytes);
+                dirty.push(Who::Client(key));
+            }
+            Ok(Some(Message::Abort(number))) => {
+                if let Some(owed) = client.close(number) {
+                    client.connection.push(fastcgi::end_aborted(number));
+                    dirty.push(Who::Client(key));
+                    self.call_off(key, number, owed);
                 }
-                Ok(Some(Message::Refuse(number))) => self.refuse(key, number),
-                Ok(None) => {
-                    if client.ended || client.last && client.quiet() {
-                        self.drop_client(key);
+            }
+            Ok(Some(Message::Refuse(number))) => self.refuse(key, number),
+            Ok(None) => {
+                if full && client.holds() > share {
+                    while let Some(number) = client.refuse_older(&accounts.requests, Duration::MAX) {
+                        counters.refused += 1;
+                        client.connection.push(fastcgi::end_overloaded(number));
+                        dirty.push(Who::Client(key));
                     }
-                    return None;
                 }
-                Err(Fault(what)) => {
-                    self.fault(format_args!("a client's connection is closed: {what}"));
+                if client.ended {
                     self.drop_client(key);
-                    return None;
+                } else if client.last && client.quiet() {
+                    self.close_client(key);
                 }
+                return false;
+            }
+            Err(Fault(what)) => {
+                self.fault(format_args!("a client's connection is closed: {what}"));
+                self.close_client(key);
+                return false;
             }
         }
+        true
     }
 
     /// A request that broke a bound or did not become whole is answered at once; its connection is closed once
@@ -60,9 +90,10 @@
         self.write_answer(key, number, &Answer::Unusable);
     }
 
-    fn asked(&mut self, key: Key, place: Place, mut request: Request) -> Option<Get> {
+    /// Takes a request, if it is a GET that can be used; anything else is answered here.
+    pub fn take(&mut self, key: Key, place: Place, mut request: Request) -> Option<Get> {
         request.held = codec::bare(&request.held);
-        let (number, keep_conn) = (request.number, request.keep_conn);
+        let (number, long) = (request.number, request.long);
         let (mut get, id) = (self.codec.get(&request), codec::hex(&request.id).unwrap_or_default());
         if let (Some(get), Some(zones)) = (&mut get, &self.zones) {
             get.over = zones.is_over(myrtlegauge::reading::key(get.object, get.part));
@@ -73,9 +104,6 @@
         let get = get.filter(|_| !twice);
         let ready = self.is_ready();
         let health = get.is_none() && &request.path[..] == b"/health";
-        let client = self.clients.get_mut(key)?;
-        client.last |= !keep_conn;
-        client.asked = true;
         let Some(mut get) = get else {
             let answer = if health { Answer::Healthy(ready) } else { Answer::Unusable };
             self.counters.health += u64::from(health);
@@ -84,18 +112,21 @@
                 let path = request.path.escape_ascii();
                 self.fault(format_args!("a request for {path} can't be used"));
             }
+            self.accounts.requests.take(long);
+            self.clients.get_mut(key)?.close(number);
             self.write_answer(key, number, &answer);
             return None;
         };
-        // No client waits longer than the settings tell.
-        get.viewer_timeout = get.viewer_timeout.min(self.limits.longest);
+        // No client waits longer than the settings tell, nor is there more time than the end leaves.
+        let most = self.limits.longest.min(self.lifecycle.time_left(self.now));
+        get.viewer_timeout = get.viewer_timeout.min(most);
         self.counters.taken += 1;
         self.record.took(self.now);
         self.counters.retries += u64::from(get.again);
-        self.clients.get_mut(key)?.open.push((number, place));
+        let open = &mut self.clients.get_mut(key)?.open;
+        open.iter_mut().filter(|(open, _)| *open == number).for_each(|(_, owed)| owed.place = Some(place));
         let until = self.now + get.viewer_timeout;
         let owed = Some((key, number));
-        self.accounts.requests.add(request.long);
         self.in_flight.open(place, Pending { owed, id, request, get, until, ..Pending::default() });
         Some(get)
     }
@@ -105,7 +136,7 @@
         if let Some(client) = clients.get_mut(key) {
             answer.head(text);
             let body = if let Answer::Returned(body) = answer { body.clone() } else { Bytes::new() };
-            fastcgi::answer(pen, number, text, body, |bytes| client.connection.push(bytes));
+            fastcgi::answer(pen, number, text, body, |bytes| _ = client.connection.push(bytes));
             self.dirty.push(Who::Client(key));
             if client.last {
                 self.heard_clients.push_back(key);
@@ -179,13 +210,37 @@
         }
     }
 
-    /// A client that is gone waits for nothing.
-    pub fn drop_client(&mut self, key: Key) {
+    /// A request that nobody waits for any more, taken or not.
+    fn call_off(&mut self, key: Key, number: u16, owed: Owed) {
+        match owed.place {
+            Some(place) => self.abandon(place),
+            None => {
+                self.asked.retain(|asked| asked.key != key || asked.request.number != number);
+                self.accounts.requests.take(owed.long);
+                self.counters.left_before += 1;
+            }
+        }
+    }
+
+    /// Takes a client out, with all that it waited for.
+    fn remove_client(&mut self, key: Key) -> Client {
         let client = self.clients.remove(key);
         self.accounts.requests.take(client.reader.long());
-        for &(_, place) in &client.open {
-            self.abandon(place);
+        for &(number, owed) in &client.open {
+            self.call_off(key, number, owed);
         }
+        client
+    }
+
+    /// A client that is gone waits for nothing.
+    pub fn drop_client(&mut self, key: Key) {
+        self.remove_client(key);
+    }
+
+    /// Closes a client's connection in steps.
+    pub fn close_client(&mut self, key: Key) {
+        let client = self.remove_client(key);
+        self.closing.begin(Who::Client(key), client.connection, &mut self.shared, self.now);
     }
 
     /// The answer that a host's bytes make; none where they can't be one.
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -12,10 +12,11 @@
 pub struct Client {
     pub connection: Connection<Dispatcher>,
     pub reader: Reader,
-    /// Requests that are owed an answer: their numbers, and the GETs they are.
-    pub open: Vec<(u16, Place)>,
+    /// Requests that are owed an answer, by their numbers.
+    pub open: Vec<(u16, Owed)>,
     /// To be closed once nothing is open and all is written.
     pub last: bool,
+    /// The other side has closed or broken it: its client waits for nothing.
     pub ended: bool,
     /// A whole request has come.
     pub asked: bool,
@@ -29,6 +30,15 @@
     pub flushed_at: Duration,
 }
 
+/// A request that is owed an answer.
+#[derive(Clone, Copy)]
+pub struct Owed {
+    /// The GET it is; none until the module has taken it.
+    pub place: Option<Place>,
+    /// Bytes that it holds.
+    pub long: usize,
+}
+
 impl Client {
     pub fn new(connection: Connection<Dispatcher>, now: Duration) -> Self {
         Self {
@@ -50,9 +60,14 @@
         self.open.is_empty() && self.connection.waiting() == 0
     }
 
-    /// Quiet, and with no request on its way; or never heard of but for bytes that made no request.
+    /// Quiet, and with no request on its way.
+    pub fn rests(&self) -> bool {
+        self.quiet() && self.reader.is_empty() && self.connection.unread() == 0
+    }
+
+    /// At rest; or never heard of but for bytes that made no request.
     pub fn idle(&self) -> bool {
-        self.quiet() && (!self.asked || self.reader.is_empty() && self.connection.unread() == 0)
+        self.rests() || self.quiet() && !self.asked
     }
 
     /// The next message of what came; requests that are not yet whole are counted as held.
@@ -69,6 +84,12 @@
         next
     }
 
+    /// Bytes that its requests hold here, whole or not.
+    pub fn holds(&self) -> usize {
+        let open: usize = self.open.iter().map(|(_, owed)| owed.long).sum();
+        open + self.reader.long() + self.connection.unread()
+    }
+
     /// A request that was begun before `then` and is not yet whole; it is refused.
     pub fn refuse_older(&mut self, requests: &Gauge, then: Duration) -> Option<u16> {
         let before = self.reader.long();
@@ -78,7 +99,7 @@
     }
 
     /// The request is over; none if it was before.
-    pub fn close(&mut self, number: u16) -> Option<Place> {
+    pub fn close(&mut self, number: u16) -> Option<Owed> {
         let at = self.open.iter().position(|&(open, _)| open == number)?;
         Some(self.open.swap_remove(at).1)
     }
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -18,6 +18,10 @@
     pub unusable: u64,
     /// Among those, requests under the id of a GET in hand.
     pub twice: u64,
+    /// Requests refused unread: no room for more of their client's, or the end is near.
+    pub refused: u64,
+    /// Requests whose clients had left before they could be taken.
+    pub left_before: u64,
     /// Connections closed for saying nothing that is whole in time.
     pub mute: u64,
     pub health: u64,
@@ -31,6 +35,8 @@
     pub clients: u64,
     pub links: u64,
     pub links_failed: u64,
+    /// Connections that did not come up while GETs waited for them.
+    pub links_late: u64,
     pub links_broken: u64,
     pub links_idle: u64,
     /// Connections left because a part of an answer stayed one.
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -16,6 +16,9 @@
 
 /// Connections to one host, where descriptors allow.
 const LINKS_EACH: usize = 4;
+/// How long a connection may take to come up after all: the system asks a second time after 1 s where the first word
+/// was lost, and a way there and back more. GETs wait no longer for it than the settings tell.
+const DIAL_MOST: Duration = Duration::from_millis(2000);
 
 impl Dispatch for Proxy {
     fn forward(&mut self, place: Place, f: &Forward) {
@@ -31,12 +34,15 @@
         let allowed = hop < most;
         let link = if allowed { self.link_to(f.host) } else { Err(End::NeverSent) };
         self.in_flight.at(place).out =
-            Some(Out { hop, serial, at: now, until, link: link.ok(), ends_at: None, to: *f });
+            Some(Out { hop, serial, at: now, until, link: link.ok(), message: None, to: *f });
         self.counters.forwards += 1;
         let kind = |host: HostIndex| Some(self.hosts[host].entry.kind);
         self.from_origin +=
             u32::from(kind(f.source) == self.limits.origin_kind || kind(f.host) == self.limits.origin_kind);
         self.dues.push(Reverse((until, Due::Forward(place, serial))));
+        if !f.begin_by.is_zero() {
+            self.dues.push(Reverse((f.begin_by, Due::Begin(place, serial))));
+        }
         match link {
             Ok(key) => {
                 let link = &mut self.links[key];
@@ -53,8 +59,8 @@
     fn withdraw(&mut self, place: Place, hop: u32) {
         let Some(out) = self.in_flight.at(place).out.filter(|out| out.hop == hop) else { return };
         self.counters.withdrawn += 1;
-        self.give_up(place, &out);
-        self.ended.push_back((place, out.serial, End::Withdrawn));
+        let end = if self.give_up(place, &out) { End::Withdrawn } else { End::NeverSent };
+        self.ended.push_back((place, out.serial, end));
     }
 
     fn shed(&mut self, place: Place, retry_after: Option<Duration>) {
@@ -96,7 +102,7 @@
         let first = open.min_by_key(|&key| (!links[key].up, links[key].out.len()));
         let Some(key) = first else { return self.open_link(host) };
         let few = own.len() < LINKS_EACH.min(self.most_links / self.hosts.len());
-        if few && !links[key].out.is_empty() && own.iter().all(|&key| links[key].up) {
+        if few && !links[key].out.is_empty() && own.iter().all(|&key| links[key].up || links[key].late) {
             let _ = self.open_link(host);
         }
         Ok(key)
@@ -119,6 +125,7 @@
             connection,
             host,
             up: false,
+            late: false,
             since: now,
             out: Vec::new(),
             retired: false,
@@ -169,36 +176,62 @@
         }
         resp::serve(pen, &request.id, text, &request.body);
         let link = &mut links[key];
-        link.connection.push(pen.split().freeze());
-        out.ends_at = Some(link.connection.pushed());
+        out.message = Some(link.connection.push(pen.split().freeze()));
         self.dirty.push(Who::Link(key));
     }
 
     pub fn link_up(&mut self, key: Key) {
         let now = self.now;
         let Some(link) = self.links.get_mut(key) else { return };
-        (link.up, link.since, link.heard_at) = (true, now, now);
+        if std::mem::take(&mut link.late) {
+            self.came_up.push(link.host);
+        }
+        (link.up, link.since, link.heard_at, link.used_at) = (true, now, now, now);
         for i in 0..link.out.len() {
             let place = self.links[key].out[i];
             self.write_forward(key, place);
         }
     }
 
-    /// A connection that did not come up: nothing that waited for it ever ran.
+    /// A connection that will not come up: nothing that waited for it ever ran.
     pub fn link_failed(&mut self, key: Key) {
         self.counters.links_failed += 1;
         self.end_link(key, End::NoConnection);
     }
 
-    /// Ends a connection and what is out on it. A forward whose last byte never left is proven not run. One loss
-    /// is told of the host once, by its first forward: the others only went down with it.
+    /// A connection that has not come up in time: nothing that waited for it ever ran, and goes elsewhere. It may still
+    /// come, and tells then that its host lives; until then another is opened for what is to go there.
+    ///
+    /// Guards hosts whose connections come up late against being taken for dead, each new try coming up as late as the
+    /// last. It hurts by a descriptor for a host that is gone.
+    pub fn link_late(&mut self, key: Key) {
+        self.counters.links_late += 1;
+        self.links[key].late = true;
+        self.end_forwards(key, End::NoConnection);
+        let (dialled, host) = (self.links[key].since, self.links[key].host);
+        self.dues.push(Reverse((dialled + DIAL_MOST, Due::Dial(key))));
+        let late = || self.hosts[host].links.iter().copied().filter(|&key| self.links[key].late);
+        if late().count() >= LINKS_EACH
+            && let Some(oldest) = late().min_by_key(|&key| self.links[key].since)
+        {
+            self.drop_link(oldest);
+        }
+    }
+
+    /// Ends a connection and what is out on it.
     pub fn end_link(&mut self, key: Key, end: End) {
-        let flushed = self.links[key].connection.flushed();
+        self.end_forwards(key, end);
+        self.drop_link(key);
+    }
+
+    /// Ends what is out on a connection. A forward whose last byte never left is proven not run. One loss
+    /// is told of the host once, by its first forward: the others only went down with it.
+    fn end_forwards(&mut self, key: Key, end: End) {
         let mut told = end == End::Spoilt;
         for place in std::mem::take(&mut self.links[key].out) {
             let Some(out) = self.in_flight.at(place).out.as_mut() else { continue };
             out.link = None;
-            let left = out.ends_at.is_some_and(|ends| ends <= flushed);
+            let left = out.message.is_some_and(|message| self.links[key].connection.has_left(message));
             let end = match (left, std::mem::replace(&mut told, true)) {
                 (true, false) => end,
                 (true, true) => End::Spoilt,
@@ -207,27 +240,53 @@
             };
             self.ended.push_back((place, out.serial, end));
         }
-        self.drop_link(key);
+    }
+
+    /// Closes a connection that nothing is out on, in steps.
+    pub fn close_link(&mut self, key: Key) {
+        let link = self.take_link(key);
+        self.closing.begin(Who::Link(key), link.connection, &mut self.shared, self.now);
     }
 
     pub fn drop_link(&mut self, key: Key) {
+        self.take_link(key);
+    }
+
+    fn take_link(&mut self, key: Key) -> Link {
         let link = self.links.remove(key);
         debug_assert!(link.out.is_empty(), "a connection is dropped with a forward out");
         self.hosts[link.host].links.retain(|&other| other != key);
+        link
+    }
+
+    /// A forward that may not begin after now: one of which nothing has gone out is taken back.
+    pub fn too_late_to_begin(&mut self, place: Place, serial: u64) {
+        let out = self.in_flight.at(place).out.filter(|out| out.serial == serial && out.link.is_some());
+        let Some(out) = out else { return };
+        if self.take_back(&out) {
+            self.give_up(place, &Out { message: None, ..out });
+            self.ended.push_back((place, serial, End::NeverSent));
+        }
+    }
+
+    /// Whether not a byte of a forward has gone out, so that it never will.
+    fn take_back(&mut self, out: &Out) -> bool {
+        let Some(key) = out.link else { return false };
+        out.message.is_none_or(|message| self.links[key].connection.take_back(message))
     }
 
     /// A forward's time is up.
     pub fn overdue(&mut self, place: Place, serial: u64) {
         let out = self.in_flight.at(place).out.filter(|out| out.serial == serial && out.link.is_some());
         let Some(out) = out else { return };
-        self.give_up(place, &out);
-        let end = if out.ends_at.is_some() { End::TimedOut } else { End::NeverSent };
+        let end = if self.give_up(place, &out) { End::TimedOut } else { End::NeverSent };
         self.ended.push_back((place, serial, end));
     }
 
-    /// Takes a forward off its connection and tells the host, if it was told of it.
-    fn give_up(&mut self, place: Place, out: &Out) {
-        let Some(key) = out.link else { return };
+    /// Takes a forward off its connection and tells the host, if it was told of it; false: it was told nothing.
+    fn give_up(&mut self, place: Place, out: &Out) -> bool {
+        let sent = !self.take_back(out);
+        let Some(key) = out.link else { return sent };
         if let Some(out) = &mut self.in_flight.at(place).out {
             out.link = None;
         }
@@ -238,12 +297,13 @@
         link.used_at = now;
         // Not a byte since it was sent, for longer than a connection may take: the other end may be gone without
         // a word, and another connection tells. Hurts only by a handshake where a host is slow and all alone.
-        link.retired |= out.ends_at.is_some() && link.heard_at <= out.at && now >= out.at + connect;
-        if out.ends_at.is_some() && cancel {
+        link.retired |= out.message.is_some() && link.heard_at <= out.at && now >= out.at + connect;
+        if sent && cancel {
             resp::cancel(pen, &in_flight.at(place).request.id);
             link.connection.push(pen.split().freeze());
             self.dirty.push(Who::Link(key));
         }
+        sent
     }
 
     /// The next answer of a host that a forward waits for.
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -21,6 +21,8 @@
     pub connection: Connection<Dispatcher>,
     pub host: HostIndex,
     pub up: bool,
+    /// It did not come up in the time that GETs wait for it, and may still.
+    pub late: bool,
     /// When it came up, or, before that, when it was asked for.
     pub since: Duration,
     /// GETs with a forward out here, those that wait for it to come up included.
@@ -36,6 +38,6 @@
 
 impl Link {
     pub fn takes(&self, streams: usize) -> bool {
-        !self.retired && !self.ended && self.out.len() < streams
+        !self.retired && !self.ended && !self.late && self.out.len() < streams
     }
 }
--- a/crates/dispatcher/src/routing/in_flight.rs
+++ b/crates/dispatcher/src/routing/in_flight.rs
@@ -37,8 +37,8 @@
     pub at: Duration,
     pub until: Duration,
     pub link: Option<Key>,
-    /// Where its last byte stands in the connection's stream; none while it waits for one to come up.
-    pub ends_at: Option<u64>,
+    /// Its message on the connection, by its number there; none while it waits for one to come up.
+    pub message: Option<u64>,
     pub to: Forward,
 }
 
@@ -67,6 +67,11 @@
         &mut self.places[place]
     }
 
+    /// The GETs that are owed an answer.
+    pub fn places(&self) -> Vec<Place> {
+        (0..self.places.len()).filter(|&place| self.places[place].owed.is_some()).collect()
+    }
+
     /// Takes away what is owed, so that it can be paid once only.
     pub fn settle(&mut self, place: Place) -> Option<(Key, u16)> {
         let owed = self.places[place].owed.take()?;
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod in_flight;
 mod keyed;
+mod lifecycle;
 mod news;
 mod proxy;
 mod sockets;
@@ -117,7 +118,8 @@
     }
 
     pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.proxy.listener.address()
+        let closed = || std::io::Error::from(std::io::ErrorKind::NotConnected);
+        self.proxy.listener.as_ref().ok_or_else(closed)?.address()
     }
 
     /// How long the loop may sleep.
@@ -130,8 +132,13 @@
         let Self { router, proxy, .. } = self;
         proxy.read();
         proxy.hear_zones();
-        proxy.write();
-        while proxy.has_news() {
+        proxy.end_in_steps();
+        loop {
+            // Who has left is known before what was decided meanwhile goes out.
+            proxy.parse_clients();
+            if !proxy.has_news() {
+                break;
+            }
             let began = Instant::now();
             let now = proxy.now;
             router.round(now, proxy, |round| {
@@ -147,14 +154,23 @@
                 if !moved.is_empty() {
                     round.listed(ListKind::Changes, &moved);
                 }
+                // What ends interest comes before what spends: a forward that failed is not tried again for who has left.
+                while let Some(place) = round.writer().next_abandoned() {
+                    round.abandoned(place);
+                }
+                while let Some(host) = round.writer().came_up.pop() {
+                    round.reported(host, true);
+                }
                 while let Some((place, outcome)) = round.writer().next_answered() {
                     round.outcome(place, &outcome);
                 }
                 while let Some((place, outcome)) = round.writer().next_ended() {
                     round.outcome(place, &outcome);
                 }
-                while let Some(place) = round.writer().next_abandoned() {
-                    round.abandoned(place);
+                if round.writer().must_answer() {
+                    for place in round.writer().in_flight.places() {
+                        round.cut_short(place);
+                    }
                 }
                 let mut place = round.next_place();
                 while let Some(get) = round.writer().next_get(place) {
@@ -171,6 +187,7 @@
             counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
             proxy.now = proxy.clock.now();
         }
+        proxy.write();
         proxy.tell_origin();
         proxy.look_at_return();
         if proxy.tidy() {
@@ -183,7 +200,7 @@
         proxy.count_holds();
     }
 
-    /// Takes what still comes for the time that a restart allows, then ends once nothing is in hand.
+    /// Ends in steps: takes what still comes for the time that a restart allows, then closes what is quiet.
     pub fn stop(&mut self) {
         self.proxy.stop();
         if let Some(member) = self.member.clone() {
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -196,17 +196,17 @@
         }
     }
 
-    /// What still waits for a connection was decided before this news: it never ran and is decided again. Guards
-    /// drains and purges, whose graces may be shorter than a connection takes. It hurts by one forward of a GET.
+    /// What still waits for a connection, or in the queue of one that its host does not read, was decided before this news:
+    /// it never ran and is decided again. Guards drains and purges, whose graces may be shorter than a connection takes or
+    /// a host hangs. It hurts by one forward of a GET.
     pub fn decide_anew(&mut self, concerned: impl Fn(&Pending, &Out) -> bool) {
         for (_, link) in self.links.iter_mut() {
-            if link.up {
-                continue;
-            }
-            let (in_flight, ended) = (&mut self.in_flight, &mut self.ended);
+            let (in_flight, ended, connection) = (&mut self.in_flight, &mut self.ended, &mut link.connection);
             link.out.retain(|&place| {
                 let pending = in_flight.at(place);
                 let out = pending.out.filter(|out| concerned(pending, out));
+                let unsent = |out: &Out| out.message.is_none_or(|message| connection.take_back(message));
+                let out = out.filter(unsent);
                 if let Some(out) = out {
                     pending.out = Some(Out { link: None, ..out });
                     ended.push_back((place, out.serial, End::NeverSent));
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -6,6 +6,7 @@
 use super::hosts::{Host, Link};
 use super::in_flight::InFlight;
 use super::keyed::Keyed;
+use super::lifecycle::{Lifecycle, State};
 use super::zones::{ZoneNews, Zones};
 use super::{Dispatcher, Key, Who};
 use bytes::BytesMut;
@@ -15,7 +16,8 @@
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::feed::Feed;
 use myrtlegauge_wire::places::Places;
-use myrtlegauge_wire::transport::{Accounts, Hub, Listener};
+use myrtlegauge_wire::protocol::fastcgi::Request;
+use myrtlegauge_wire::transport::{Accounts, Closing, Hub, Listener};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fmt::Arguments;
@@ -35,11 +37,20 @@
 /// dispatchers that touched them, few enough that an overload is not made worse by its own log (a line costs some
 /// microseconds of the one core).
 const ENDS_LOGGED: u32 = 20;
-/// How long GETs are still taken once a restart is asked for: the page has them come for 0.6 s.
-const STOPS_AFTER: Duration = Duration::from_millis(1000);
-/// Parts of the descriptors for clients and for hosts; the rest is for the loop, the log and the change log.
+/// Parts of the descriptors for clients, for hosts and for connections that are being closed.
 const CLIENTS_PART: f64 = 0.5;
 const LINKS_PART: f64 = 0.35;
+const CLOSING_PART: f64 = 0.05;
+/// Descriptors that are kept for what a dispatcher can't do without, however many clients and hosts there are: the three
+/// standard streams, the loop's three, the listener, the signals, and what the change log's poll opens at once.
+const KEPT: usize = 14;
+/// Time in which an answer that has begun becomes whole, at least: hosts write theirs in one go, and this is a hiccup of the
+/// network;
+const PART_LEAST: Duration = Duration::from_millis(250);
+/// and so many times what the largest object takes at the pace that the settings tell.
+const PART_SLOW: f64 = 2.0;
+/// kB of the largest object, by the protocol page.
+const LARGEST_KB: f64 = 240.0;
 /// Part of the memory that buffers may take before nothing more is read: bytes in hand stand beside them.
 const BUFFERS_PART: f64 = 0.2;
 
@@ -57,6 +68,8 @@
     pub connect: Duration,
     pub cancel: bool,
     pub forwards: u32,
+    /// Time in which an answer that has begun becomes whole.
+    pub part: Duration,
     /// The longest that any client waits.
     pub longest: Duration,
     /// Each class's latency objective, by its index; a GET returned later is logged.
@@ -71,7 +84,18 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     Forward(Place, u64),
+    /// A forward that has not begun by now may no longer.
+    Begin(Place, u64),
+    /// GETs wait no longer for a connection to come up.
     Connect(Key),
+    /// Nor does anybody.
+    Dial(Key),
+}
+
+/// A request that is whole and waits to be taken, with its client.
+pub struct Asked {
+    pub key: Key,
+    pub request: Request,
 }
 
 pub struct Proxy {
@@ -99,6 +123,12 @@
     /// Forwards that ended here and not by an answer, to be told in the next round.
     pub ended: VecDeque<(Place, u64, End)>,
     pub abandoned: VecDeque<Place>,
+    /// Requests that came in this turn and are to be taken, none of whose clients has left since.
+    pub asked: VecDeque<Asked>,
+    /// Hosts whose connections came up after they had been told not to.
+    pub came_up: Vec<HostIndex>,
+    pub closing: Closing<Dispatcher>,
+    pub lifecycle: Lifecycle,
     pub dues: BinaryHeap<Reverse<(Duration, Due)>>,
     /// Where messages are written before they go out, and the fields or the head of one.
     pub pen: BytesMut,
@@ -106,7 +136,8 @@
     pub feed: Feed<Dispatcher>,
     pub feed_heard: bool,
     pub listed: bool,
-    pub listener: Listener,
+    /// None once it is closed.
+    pub listener: Option<Listener<Dispatcher>>,
     pub accepting: bool,
     pub shared: Box<[u8]>,
     pub tidy_at: Duration,
@@ -114,7 +145,6 @@
     pub most_links: usize,
     most_buffered: usize,
     wake_at: Duration,
-    stops_at: Option<Duration>,
     /// Lines on faults: one in each `LOG_EVERY`.
     faults: Lines,
     /// Lines on GETs not returned or late.
@@ -184,6 +214,8 @@
             idle: values::span(told, "limits.conn_idle_ms").unwrap_or_default().mul_f64(IDLE_PART),
             connect: values::span(told, "limits.connect_timeout_ms").unwrap_or_default(),
             cancel: flag(told, "limits.cancel"),
+            part: number(told, "domain.flow_kb_per_s")
+                .map_or(PART_LEAST, |flow| span(LARGEST_KB / flow * PART_SLOW * 1e3).max(PART_LEAST)),
             forwards: number(told, "limits.max_attempts").map_or(u32::MAX, |n| n as u32),
             longest: span(if longest > 0.0 { longest } else { codec::BUDGET_MOST }),
             aims,
@@ -195,13 +227,16 @@
 impl Proxy {
     pub fn new(
         hub: Hub<Dispatcher>,
-        listener: Listener,
+        listener: Listener<Dispatcher>,
         accounts: Rc<Accounts>,
         feed: Feed<Dispatcher>,
         (codec, places, limits): (Codec, Places, ConnectionLimits),
         room: Room,
         clock: Clock,
     ) -> Self {
+        let part = |part: f64| (room.descriptors as f64 * part) as usize;
+        let most_clients = part(CLIENTS_PART);
+        let left = room.descriptors.saturating_sub(KEPT + most_clients + part(CLOSING_PART));
         Self {
             hub,
             accounts,
@@ -222,18 +257,21 @@
             dirty: Vec::new(),
             ended: VecDeque::new(),
             abandoned: VecDeque::new(),
+            asked: VecDeque::new(),
+            came_up: Vec::new(),
+            closing: Closing::new(part(CLOSING_PART)),
+            lifecycle: Lifecycle::new(),
             dues: BinaryHeap::new(),
             pen: BytesMut::new(),
             text: Vec::new(),
             feed,
             feed_heard: false,
             listed: false,
-            listener,
+            listener: Some(listener),
             accepting: true,
             shared: vec![0; SHARED].into(),
             wake_at: Duration::MAX,
             tidy_at: Duration::ZERO,
-            stops_at: None,
             faults: Lines::default(),
             ends: Lines::default(),
             from_origin: 0,
@@ -246,8 +284,8 @@
             zones_due: Duration::MAX,
             sharers: None,
             clock,
-            most_clients: (room.descriptors as f64 * CLIENTS_PART) as usize,
-            most_links: (room.descriptors as f64 * LINKS_PART) as usize,
+            most_clients,
+            most_links: part(LINKS_PART).min(left).max(1),
             most_buffered: (room.memory as f64 * BUFFERS_PART) as usize,
         }
     }
@@ -257,9 +295,15 @@
             self.dues.pop();
             match due {
                 Due::Forward(place, serial) => self.overdue(place, serial),
+                Due::Begin(place, serial) => self.too_late_to_begin(place, serial),
                 Due::Connect(key) => {
                     if self.links.get_mut(key).is_some_and(|link| !link.up) {
-                        self.link_failed(key);
+                        self.link_late(key);
+                    }
+                }
+                Due::Dial(key) => {
+                    if self.links.get_mut(key).is_some_and(|link| !link.up) {
+                        self.drop_link(key);
                     }
                 }
             }
@@ -276,6 +320,12 @@
         self.accounts.buffered.level() + self.accounts.requests.level() > self.most_buffered
     }
 
+    /// Bytes of requests that a client may hold here while there is no room for all: what one sends without end is refused, and
+    /// the others' requests, their ends and their calls-off are read all the while.
+    pub fn share_of_requests(&self) -> usize {
+        self.most_buffered / 2 / self.clients.len().max(1)
+    }
+
     /// Counts what could not be read or used, and tells of it now and then.
     pub fn fault(&mut self, what: Arguments<'_>) {
         self.counters.faults += 1;
@@ -343,12 +393,14 @@
     pub fn next_due(&self) -> Duration {
         if !self.zone_heard.is_empty()
             || self.sharers.is_some()
-            || !self.ready.is_empty() && !self.is_full_of_requests()
+            || self.ready.iter().any(|who| !matches!(who, Who::Link(_)))
+            || !self.ready.is_empty() && !self.is_full()
         {
             return Duration::ZERO;
         }
         let first = self.dues.peek().map_or(Duration::MAX, |Reverse((at, _))| *at);
-        first.min(self.wake_at).min(self.tidy_at).min(self.feed.due).min(self.zones_due)
+        let own = self.lifecycle.due(self.now);
+        first.min(self.wake_at).min(self.tidy_at).min(self.feed.due).min(self.zones_due).min(own)
     }
 
     pub fn has_news(&self) -> bool {
@@ -358,6 +410,9 @@
             || !self.heard_clients.is_empty()
             || !self.ended.is_empty()
             || !self.abandoned.is_empty()
+            || !self.asked.is_empty()
+            || !self.came_up.is_empty()
+            || self.must_answer()
             || self.now >= self.wake_at
             || self.now >= self.zones_due
     }
@@ -380,20 +435,23 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        self.listed && self.stops_at.is_none() && !self.zones.as_ref().is_some_and(|z| z.is_unsure(self.now))
+        let serves = self.lifecycle.state() == State::Serving;
+        self.listed && serves && !self.zones.as_ref().is_some_and(|z| z.is_unsure(self.now))
     }
 
     pub fn stop(&mut self) {
-        if self.stops_at.is_none() {
-            self.stops_at = Some(self.clock.now() + STOPS_AFTER);
+        if self.lifecycle.end(self.clock.now(), self.limits.longest) {
             log::info!("asked to end; {} GETs in hand", self.in_flight.owed);
         }
     }
 
+    /// The end is near and GETs are in hand.
+    pub fn must_answer(&self) -> bool {
+        self.in_flight.owed > 0 && self.lifecycle.must_answer(self.now)
+    }
+
     pub fn is_done(&self) -> bool {
-        let quiet =
-            || self.in_flight.owed == 0 && self.clients.iter().all(|(_, c)| c.connection.waiting() == 0);
-        self.stops_at.is_some_and(|at| self.now >= at) && quiet()
+        self.lifecycle.state() == State::Done
     }
 
     pub fn count_holds(&mut self) {
@@ -436,11 +494,10 @@
 
     /// A GET of the next request that is whole, if there is one; requests that are not GETs are answered here.
     pub fn next_get(&mut self, place: Place) -> Option<Get> {
-        while let Some(&key) = self.heard_clients.front() {
-            if let Some(get) = self.next_request(key, place) {
+        while let Some(Asked { key, request }) = self.asked.pop_front() {
+            if let Some(get) = self.take(key, place, request) {
                 return Some(get);
             }
-            self.heard_clients.pop_front();
         }
         None
     }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -2,19 +2,19 @@
 
 use super::clients::Client;
 use super::hosts::Link;
+use super::lifecycle::State;
 use super::proxy::{Proxy, TIDY_EVERY};
 use super::{Dispatcher, Key, Who};
 use myrtlegauge::interface::End;
 use myrtlegauge_wire::transport::{Connection, Reading};
 use std::time::Duration;
 
-/// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips.
+/// Time in which a request, and the first one on a connection, becomes whole; far over a slow network's round trips. It is
+/// no part of any deadline, for a request's time counts from its last byte.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1500);
 /// Bytes read in one turn from a client, who may send without end, and from a host, whose answers are larger.
 const CLIENT_MOST: usize = 64 * 1024;
 pub const HOST_MOST: usize = 256 * 1024;
-/// Time in which an answer that has begun becomes whole; hosts write theirs in one go.
-const PART_MOST: Duration = Duration::from_millis(250);
 
 impl Proxy {
     /// Reads what came on all that was ready, as far as buffers allow.
@@ -33,7 +33,7 @@
                 Who::Link(key) => self.on_link_ready(key),
                 Who::Feed => {
                     self.feed_heard = true;
-                    self.feed.on_ready(&mut self.shared)
+                    self.feed.on_ready(&mut self.shared, self.now)
                 }
             };
             self.ready.extend(again.then_some(who));
@@ -46,10 +46,12 @@
 
     /// True: there is more to read, now or once buffers have room.
     fn on_client_ready(&mut self, key: Key) -> bool {
-        let full = self.is_full_of_requests();
-        let Self { clients, shared, now, .. } = self;
-        let Some(client) = clients.get_mut(key) else { return false };
-        let (ended, again) = on_ready(&mut client.connection, shared, full, CLIENT_MOST);
+        let Self { clients, shared, now, closing, .. } = self;
+        let Some(client) = clients.get_mut(key) else {
+            return closing.on_ready(Who::Client(key), shared).unwrap_or(false);
+        };
+        // Also while there is no room for requests: their ends and calls-off are among what comes.
+        let (ended, again) = on_ready(&mut client.connection, shared, false, CLIENT_MOST);
         client.ended |= ended;
         client.moved_at = *now;
         self.heard_clients.push_back(key);
@@ -57,7 +59,9 @@
     }
 
     fn on_link_ready(&mut self, key: Key) -> bool {
-        let Some(link) = self.links.get_mut(key) else { return false };
+        let Some(link) = self.links.get_mut(key) else {
+            return self.closing.on_ready(Who::Link(key), &mut self.shared).unwrap_or(false);
+        };
         if !link.up {
             match link.connection.is_up() {
                 Ok(true) => self.link_up(key),
@@ -88,15 +92,16 @@
     fn accept(&mut self) {
         while self.accepting {
             let over = self.clients.len() >= self.most_clients;
-            let idle = if over { self.longest_idle() } else { None };
-            if over && idle.is_none() {
+            if over && self.longest_idle().is_none() {
                 return;
             }
-            match self.listener.accept() {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
                 Ok(Some(stream)) => {
-                    if let Some(key) = idle {
-                        self.drop_client(key);
-                    }
+                    while over
+                        && let Some(key) = self.longest_idle()
+                        && !self.close_idle_client(key)
+                    {}
                     let key = self.clients.next_key();
                     let who = Who::Client(key);
                     if let Ok(connection) = Connection::accepted(&self.hub, stream, who, &self.accounts) {
@@ -111,6 +116,70 @@
         }
     }
 
+    /// Closes a connection that seemed idle, unless something has just come on it; true: it is closed.
+    fn close_idle_client(&mut self, key: Key) -> bool {
+        if self.look_once_more(key) {
+            return false;
+        }
+        let ended = self.clients[key].ended;
+        if ended {
+            self.drop_client(key)
+        } else {
+            self.close_client(key)
+        }
+        true
+    }
+
+    /// Reads a client's connection dry; whether something more has come.
+    fn look_once_more(&mut self, key: Key) -> bool {
+        let client = &mut self.clients[key];
+        let before = client.connection.unread();
+        let reading = client.connection.read(&mut self.shared, CLIENT_MOST);
+        client.ended |= reading == Reading::Ended;
+        let more = client.connection.unread() > before;
+        if more || client.ended {
+            self.heard_clients.push_back(key);
+        }
+        more
+    }
+
+    /// Goes on with the end, where one was asked for: reads all once more before what is to come is refused, then closes
+    /// each connection that is quiet.
+    pub fn end_in_steps(&mut self) {
+        if self.lifecycle.may_close(self.now) {
+            self.accepting = true;
+            self.accept();
+            let keys: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
+            keys.into_iter().for_each(|key| _ = self.look_once_more(key));
+            self.parse_clients();
+            self.listener = None;
+            self.lifecycle.close();
+        }
+        if self.lifecycle.state() != State::Closing {
+            return;
+        }
+        let rests = |client: &Client| client.rests() && !client.ended;
+        let resting: Vec<Key> = self.clients.iter().filter(|(_, c)| rests(c)).map(|(key, _)| key).collect();
+        for key in resting {
+            self.close_idle_client(key);
+        }
+        let lingers = self.closing.keys().any(|who| matches!(who, Who::Client(_)));
+        self.lifecycle.turn(self.clients.len() == 0 && !lingers && self.in_flight.owed == 0, self.now);
+        if self.lifecycle.state() == State::Done {
+            self.leave_hosts();
+        }
+    }
+
+    /// The last step: hosts are told that nothing more comes, and what they have just written is read.
+    fn leave_hosts(&mut self) {
+        let Self { links, shared, .. } = self;
+        for (_, link) in links.iter_mut().filter(|(_, link)| link.up) {
+            let _ = link.connection.flush();
+            link.connection.half_close();
+            link.connection.discard(shared, HOST_MOST);
+        }
+    }
+
     fn longest_idle(&self) -> Option<Key> {
         let idle = self.clients.iter().filter(|(_, client)| client.idle());
         let first = |client: &Client| if client.asked { client.moved_at } else { client.since };
@@ -120,7 +189,7 @@
     pub fn close_idle_link(&mut self) -> bool {
         let idle = self.links.iter().filter(|(_, link)| link.out.is_empty()).min_by_key(|(_, l)| l.used_at);
         let Some(key) = idle.map(|(key, _)| key) else { return false };
-        self.drop_link(key);
+        self.close_link(key);
         true
     }
 
@@ -166,20 +235,22 @@
         let done: Vec<Key> = self.links.iter().filter(|(_, link)| done(link)).map(|(key, _)| key).collect();
         for key in done {
             self.counters.links_idle += 1;
-            self.drop_link(key);
+            self.close_link(key);
         }
+        self.closing.expire(now);
         self.forget_gone();
         self.tidy_clients();
+        let mut deaf = Vec::new();
         for (key, client) in self.clients.iter_mut() {
             let flushed = client.connection.flushed();
             if client.flushed != flushed || client.connection.waiting() == 0 {
                 (client.flushed, client.flushed_at) = (flushed, now);
-            } else if now >= client.flushed_at + longest && !client.ended {
+            } else if now >= client.flushed_at + longest {
                 // It has taken nothing of its answers for longer than any client waits.
-                client.ended = true;
-                self.heard_clients.push_back(key);
+                deaf.push(key);
             }
         }
+        deaf.into_iter().for_each(|key| self.drop_client(key));
         self.end_stuck_links();
         self.ended.is_empty()
     }
@@ -187,7 +258,7 @@
     /// A part of an answer that stays one holds up all behind it: the connection is of no further use. It hurts
     /// where a host takes longer than this between two writes of one answer.
     fn end_stuck_links(&mut self) {
-        let stuck = |link: &Link| link.part_since.is_some_and(|since| self.now >= since + PART_MOST);
+        let stuck = |link: &Link| link.part_since.is_some_and(|since| self.now >= since + self.limits.part);
         let stuck: Vec<Key> = self.links.iter().filter(|(_, link)| stuck(link)).map(|(key, _)| key).collect();
         for key in stuck {
             self.counters.links_stuck += 1;
@@ -196,12 +267,8 @@
     }
 
     /// Refuses requests that are begun and do not become whole, and closes connections that say nothing whole. It
-    /// hurts a client that takes longer to write a request than this, which on a clear network none does; while
-    /// buffers are full nothing is read here, and nobody is blamed.
+    /// hurts a client that takes longer to write a request than this, which on a clear network none does.
     fn tidy_clients(&mut self) {
-        if self.is_full_of_requests() {
-            return;
-        }
         let then = self.now.saturating_sub(WHOLE_WITHIN);
         let stuck = |client: &Client| {
             client.part_since.is_some_and(|since| since < then) || !client.asked && client.since < then
@@ -215,10 +282,9 @@
                 self.refuse(key, number);
             }
             let client = &mut self.clients[key];
-            if stuck(client) && !client.ended {
-                client.ended = true;
+            if stuck(client) {
                 self.counters.mute += 1;
-                self.heard_clients.push_back(key);
+                self.close_client(key);
             }
         }
     }
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -590,6 +590,7 @@
             join: false,
             held_only: false,
             renew: false,
+            begin_by: Duration::ZERO,
         };
         let place = self.dispatchers[router].gets.len();
         self.dispatchers[router].gets.push(Some(id));
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -3,6 +3,7 @@
 use crate::protocol::{Fault, changelog};
 use crate::transport::{Accounts, Connection, Hub, Owner, Reading};
 use bytes::Bytes;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,8 +13,15 @@
 const WAIT: Duration = Duration::from_millis(500);
 /// The same for the first poll, and after a gap.
 const AT_ONCE: Duration = Duration::from_millis(1);
-/// After this much more the connection is given up.
+/// After this much more the connection is given up. What trickles does not put it off; but while an answer has begun and
+/// is not whole in time, the next has twice as long, for a slow way there is not a silent one.
 const PATIENCE: Duration = Duration::from_millis(250);
+/// The most of that: the longest that the page has an answer wait.
+const PATIENCE_MOST: Duration = Duration::from_millis(5000);
+/// A connection that does not come up is tried beside by another after this, as soon as a silent one is given up.
+const DIAL_AGAIN: Duration = Duration::from_millis(750);
+/// And stays until this: the system asks a second time after 1 s where the first word was lost, and a slow way more.
+const DIAL_MOST: Duration = Duration::from_millis(3000);
 /// Pause after a loss or an answer that brought nothing too soon: no flood, and far under any grace on drains.
 const AGAIN: Duration = Duration::from_millis(50);
 
@@ -26,6 +34,11 @@
     /// How the owner knows that it was ready.
     key: O::Key,
     connection: Option<Connection<O>>,
+    /// Those that have not come up, oldest first, with when each was tried; none where one is up.
+    dials: VecDeque<(Duration, Connection<O>)>,
+    /// All dials failed since the last look.
+    refused: bool,
+    patience: Duration,
     asked: bool,
     asked_at: Duration,
     /// When to give up or to ask again.
@@ -36,6 +49,8 @@
     pub last: u64,
     /// Each new connection asks for the last event once more.
     overlaps: bool,
+    /// Nothing was asked on this connection yet.
+    is_new: bool,
     /// An event that was refused once, because those before it were missing.
     beyond: u64,
     /// The next poll is answered at once: what is known has to be whole before it is used.
@@ -61,12 +76,16 @@
             host: address.to_string(),
             key,
             connection: None,
+            dials: VecDeque::new(),
+            refused: false,
+            patience: PATIENCE,
             asked: false,
             asked_at: Duration::ZERO,
             due: Duration::ZERO,
             ended: false,
             last: 0,
             overlaps: false,
+            is_new: false,
             beyond: 0,
             hurries: true,
         }
@@ -119,32 +138,44 @@
 
     /// Asks if nothing is asked; gives up what is overdue. True: a poll was lost.
     pub fn tend(&mut self, hub: &Hub<O>, accounts: &Rc<Accounts>, now: Duration) -> bool {
-        let overdue = self.connection.is_some() && self.asked && now >= self.due;
-        if overdue {
+        let overdue = now >= self.due && (self.asked || !self.dials.is_empty());
+        if self.asked && overdue {
+            let part = self.connection.as_ref().is_some_and(|connection| connection.unread() > 0);
+            self.patience = if part { (self.patience * 2).min(PATIENCE_MOST) } else { PATIENCE };
             self.lose(now);
         }
         if now < self.due || self.asked {
             return overdue;
         }
-        let new = self.connection.is_none();
-        if new {
-            self.connection = Connection::opening(hub, self.address, self.key, accounts).ok();
-            if self.connection.is_none() {
-                self.lose(now);
-                return true;
-            }
+        let Some(connection) = &mut self.connection else { return self.dial(hub, accounts, now) || overdue };
+        let wait = if std::mem::take(&mut self.hurries) { AT_ONCE } else { WAIT };
+        let since = self.last.saturating_sub(u64::from(std::mem::take(&mut self.is_new) && self.overlaps));
+        connection.push(changelog::poll(&self.host, since, wait.as_millis()));
+        (self.asked, self.asked_at, self.due) = (true, now, now + WAIT + self.patience);
+        if connection.flush().is_err() {
+            self.lose(now);
+            return true;
         }
-        if let Some(connection) = &mut self.connection {
-            let since = self.last.saturating_sub(u64::from(new && self.overlaps));
-            let wait = if std::mem::take(&mut self.hurries) { AT_ONCE } else { WAIT };
-            connection.push(changelog::poll(&self.host, since, wait.as_millis()));
-            (self.asked, self.asked_at, self.due) = (true, now, now + WAIT + PATIENCE);
-            if matches!(connection.is_up(), Ok(true)) && connection.flush().is_err() {
-                self.lose(now);
-                return true;
+        overdue
+    }
+
+    /// Tries a connection beside those that have not come up yet. True: none can be tried.
+    ///
+    /// Guards against a way on which connections come up later than a silent one is given up, where each would be given up
+    /// in turn; it hurts by a few descriptors while the change log is down.
+    fn dial(&mut self, hub: &Hub<O>, accounts: &Rc<Accounts>, now: Duration) -> bool {
+        self.dials.retain(|&(at, _)| now < at + DIAL_MOST);
+        match Connection::opening(hub, self.address, self.key, accounts) {
+            Ok(dial) => {
+                self.dials.push_back((now, dial));
+                self.due = now + DIAL_AGAIN;
+                false
+            }
+            Err(_) => {
+                self.due = now + AGAIN;
+                true
             }
         }
-        overdue
     }
 
     /// When the poll that is out or was answered last was asked.
@@ -160,6 +191,8 @@
 
     pub fn lose(&mut self, now: Duration) {
         self.connection = None;
+        self.dials.clear();
+        self.refused = false;
         (self.asked, self.ended, self.due) = (false, false, now + AGAIN);
     }
 
@@ -171,23 +204,38 @@
     }
 
     /// Reads and writes what can be; true: there is more to read.
-    pub fn on_ready(&mut self, shared: &mut [u8]) -> bool {
+    pub fn on_ready(&mut self, shared: &mut [u8], now: Duration) -> bool {
+        self.look_at_dials(now);
         let Some(connection) = &mut self.connection else { return false };
-        let reading = match connection.is_up().and_then(|up| connection.flush().map(|()| up)) {
-            Ok(true) => connection.read(shared, READ_MOST),
-            Ok(false) => Reading::Dry,
+        let reading = match connection.flush() {
+            Ok(()) => connection.read(shared, READ_MOST),
             Err(_) => Reading::Ended,
         };
         self.ended |= reading == Reading::Ended;
         reading == Reading::More
     }
 
+    /// The first that has come up is the connection; the others are let go.
+    fn look_at_dials(&mut self, now: Duration) {
+        let before = self.dials.len();
+        self.dials.retain_mut(|(_, dial)| dial.is_up().is_ok());
+        self.refused |= before > 0 && self.dials.is_empty();
+        let up = self.dials.iter_mut().position(|(_, dial)| matches!(dial.is_up(), Ok(true)));
+        if let Some((_, dial)) = up.and_then(|at| self.dials.remove(at)) {
+            self.connection = Some(dial);
+            self.dials.clear();
+            (self.is_new, self.due) = (true, now);
+        }
+    }
+
     /// The next whole answer; after a fault the connection is of no further use.
     pub fn next(&mut self, now: Duration) -> Result<Option<Bytes>, Fault> {
-        let Some(connection) = &mut self.connection else { return Ok(None) };
+        let Some(connection) = &mut self.connection else {
+            return if self.refused { Err(Fault("the change log can't be connected to")) } else { Ok(None) };
+        };
         let body = connection.parse(changelog::next)?;
         if body.is_some() {
-            (self.asked, self.due) = (false, now);
+            (self.asked, self.due, self.patience) = (false, now, PATIENCE);
         } else if self.ended {
             return Err(Fault("the change log's connection was lost"));
         }
--- a/crates/wire/src/protocol/fastcgi.rs
+++ b/crates/wire/src/protocol/fastcgi.rs
@@ -291,6 +291,11 @@
     end(number, COMPLETE)
 }
 
+/// The end of a request that was never sent on; trying again is harmless.
+pub fn end_overloaded(number: u16) -> Bytes {
+    end(number, OVERLOADED)
+}
+
 fn put_end(out: &mut BytesMut, number: u16, status: u8) {
     header(out, END_REQUEST, number, 8);
     out.put_slice(&[0, 0, 0, 0, status, 0, 0, 0]);
--- a/crates/wire/src/transport/connection.rs
+++ b/crates/wire/src/transport/connection.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 /// Room for bytes to come that a connection keeps while nothing waits to be parsed.
@@ -32,9 +32,13 @@
     registration: RegistrationToken,
     accounts: Rc<Accounts>,
     inbound: BytesMut,
-    outbound: VecDeque<Bytes>,
-    /// Bytes ever handed over, and ever taken by the system.
-    pushed: u64,
+    /// Messages that wait to go out, each with its number; of the first a part may have gone.
+    outbound: VecDeque<(u64, Bytes)>,
+    /// Messages ever handed over; each has the count before it as its number.
+    messages: u64,
+    begun: bool,
+    /// Bytes that wait in `outbound`, and bytes ever taken by the system.
+    waiting: usize,
     flushed: u64,
     up: bool,
 }
@@ -77,7 +81,9 @@
             accounts: Rc::clone(accounts),
             inbound: BytesMut::new(),
             outbound: VecDeque::new(),
-            pushed: 0,
+            messages: 0,
+            begun: false,
+            waiting: 0,
             flushed: 0,
             up,
         })
@@ -127,19 +133,63 @@
         parsed
     }
 
-    pub fn push(&mut self, bytes: Bytes) {
+    /// Hands a message over to go out; its number, by which it can be asked for and taken back.
+    pub fn push(&mut self, bytes: Bytes) -> u64 {
+        let number = self.messages;
         if !bytes.is_empty() {
-            self.pushed += bytes.len() as u64;
+            self.messages += 1;
+            self.waiting += bytes.len();
             self.accounts.buffered.add(bytes.len());
-            self.outbound.push_back(bytes);
+            self.outbound.push_back((number, bytes));
         }
+        number
+    }
+
+    /// Whether the system has taken a message whole.
+    pub fn has_left(&self, number: u64) -> bool {
+        self.outbound.front().is_none_or(|&(first, _)| number < first)
+    }
+
+    /// Takes a message back of which not a byte has gone out; false: a part has, and the rest follows.
+    ///
+    /// Guards a peer that reads nothing for a while against what was given up meanwhile and would still come whole.
+    pub fn take_back(&mut self, number: u64) -> bool {
+        let Some(at) = self.outbound.iter().position(|&(waiting, _)| waiting == number) else { return false };
+        if at == 0 && self.begun {
+            return false;
+        }
+        let long = self.outbound.remove(at).map_or(0, |(_, bytes)| bytes.len());
+        self.waiting -= long;
+        self.accounts.buffered.take(long);
+        true
+    }
+
+    /// Tells the other side that nothing more will come; what it writes can still be read.
+    pub fn half_close(&self) {
+        // One that is broken already needs no telling.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Reads what has come and throws it away, as far as `read` would go.
+    pub fn discard(&mut self, shared: &mut [u8], most: usize) -> Reading {
+        let mut read = 0;
+        while read < most {
+            match (&*self.stream).read(shared) {
+                Ok(0) => return Reading::Ended,
+                Ok(n) => read += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Reading::Ended,
+            }
+        }
+        Reading::More
     }
 
     /// Writes what the system takes; an error tells that the connection is over.
     pub fn flush(&mut self) -> io::Result<()> {
         while !self.outbound.is_empty() {
             let mut pieces = [IoSlice::new(&[]); PIECES];
-            for (piece, bytes) in pieces.iter_mut().zip(&self.outbound) {
+            for (piece, (_, bytes)) in pieces.iter_mut().zip(&self.outbound) {
                 *piece = IoSlice::new(bytes);
             }
             let pieces = &pieces[..self.outbound.len().min(PIECES)];
@@ -156,21 +206,24 @@
 
     fn sent(&mut self, mut n: usize) {
         self.flushed += n as u64;
+        self.waiting -= n;
         self.accounts.buffered.take(n);
         self.accounts.bytes_out.add(n);
-        while let Some(first) = self.outbound.front_mut().filter(|_| n > 0) {
+        while let Some((_, first)) = self.outbound.front_mut().filter(|_| n > 0) {
             let part = n.min(first.len());
             n -= part;
-            if part == first.len() {
-                self.outbound.pop_front();
-            } else {
+            self.begun = part < first.len();
+            if self.begun {
                 let _ = first.split_to(part);
+            } else {
+                self.outbound.pop_front();
             }
         }
     }
 
+    /// Bytes handed over so far, for an owner that takes nothing back.
     pub fn pushed(&self) -> u64 {
-        self.pushed
+        self.flushed + self.waiting as u64
     }
 
     pub fn flushed(&self) -> u64 {
@@ -183,7 +236,7 @@
     }
 
     pub fn waiting(&self) -> usize {
-        (self.pushed - self.flushed) as usize
+        self.waiting
     }
 }
 
--- a/crates/wire/src/transport/listener.rs
+++ b/crates/wire/src/transport/listener.rs
@@ -1,7 +1,7 @@
 //! The listening socket.
 
 use super::{Accounts, Hub, Owner, watch};
-use calloop::Interest;
+use calloop::{Interest, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,26 +10,25 @@
 /// Connections that the system keeps ready; a restart brings all clients at once.
 const BACKLOG: i32 = 1024;
 
-pub struct Listener {
+/// Closed as it is dropped; who still waits in its queue is reset.
+pub struct Listener<O: Owner> {
+    hub: Hub<O>,
+    registration: RegistrationToken,
+    accounts: Rc<Accounts>,
     socket: Rc<TcpListener>,
 }
 
-impl Listener {
+impl<O: Owner> Listener<O> {
     /// Listens at once, also where a process that has just ended did.
-    pub fn open<O: Owner>(
-        hub: &Hub<O>,
-        at: SocketAddr,
-        key: O::Key,
-        accounts: &Accounts,
-    ) -> io::Result<Self> {
+    pub fn open(hub: &Hub<O>, at: SocketAddr, key: O::Key, accounts: &Rc<Accounts>) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(at), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.bind(&at.into())?;
         socket.listen(BACKLOG)?;
         let socket = Rc::new(TcpListener::from(socket));
-        watch(hub, &socket, Interest::READ, key)?;
+        let registration = watch(hub, &socket, Interest::READ, key)?;
         accounts.descriptors.add(1);
-        Ok(Self { socket })
+        Ok(Self { hub: hub.clone(), registration, accounts: Rc::clone(accounts), socket })
     }
 
     /// Where it listens; the port is the system's choice where none was given.
@@ -49,3 +48,10 @@
         }
     }
 }
+
+impl<O: Owner> Drop for Listener<O> {
+    fn drop(&mut self) {
+        self.hub.remove(self.registration);
+        self.accounts.descriptors.take(1);
+    }
+}
--- a/crates/wire/src/transport/mod.rs
+++ b/crates/wire/src/transport/mod.rs
@@ -2,10 +2,12 @@
 //! Nothing here knows what the bytes mean.
 
 mod accounts;
+mod closing;
 mod connection;
 mod listener;
 
 pub use accounts::{Accounts, Gauge};
+pub use closing::Closing;
 pub use connection::{Connection, Reading};
 pub use listener::Listener;
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
 //! All decisions of a router. `Router::new` reads the settings; `Router::round(now, &mut out, |round| …)` is
 //! called once for all that came in, and the closure makes one plain call per message on `Round`. Decisions
 //! go into `out`. Types and the writer trait `Dispatch` stand in `interface.rs`. Times are since the start.
-//!
 //! The design: a consistent-hash ring names cache and parent; a windowed count of origin fills sets `busy`;
 //! busy doubles the accepted age of a delivery service at each miss, up to its upper bound; idle rejects
 //! stale copies and lets fresh hits be renewed. Beside it stand six mechanisms:
@@ -17,8 +16,7 @@
 use crate::reading;
 use crate::ring::{Memory, Ring, Window};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
-use myrtlegauge_comeback::bits::{marked, mix};
-use myrtlegauge_comeback::{Again, Filled};
+use myrtlegauge_comeback::{Again, Filled, bits::marked, bits::mix};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -168,10 +166,6 @@
         self.fills.ended(self.fills_out, told, now)
     }
 
-    fn answered(&mut self, now: Duration) {
-        (self.last_answer, self.due) = (now, Duration::MAX);
-    }
-
     /// Guards against dead, silent, unreachable and cold, refusing hosts. It hurts crowded ones.
     fn judge(&mut self, now: Duration, success: bool) {
         let failed = self.failed();
@@ -297,8 +291,7 @@
         let Some(warmth) = self.warmth(host, now) else { return true };
         let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
         let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
-        let entry = &self.hosts[host].entry;
-        let start = self.start(entry);
+        let (entry, start) = (&self.hosts[host].entry, self.start(&self.hosts[host].entry));
         if self.parental(entry) && !self.near(entry) || !reading::in_part(key, entry.mark, warmth) {
             return false;
         }
@@ -310,14 +303,20 @@
     /// A tokened GET that may have run stays in the group that drops its repeats, and in the window.
     fn may_go(&self, g: &InHand, host: HostIndex, now: Duration) -> bool {
         let ds = &self.services[g.get.ds];
-        let Some((ran_at, since)) = g.may_have_run else { return true };
+        let Some((ran_at, _)) = g.may_have_run else { return true };
         let (a, b) = (&self.hosts[ran_at].entry, &self.hosts[host].entry);
         let same = match ds.group {
             TokenGroup::All => true,
             TokenGroup::Zone => a.zone == b.zone,
             TokenGroup::Cell => a.cell == b.cell,
         };
-        ds.idempotent || ds.tokened && same && now + self.site.tick < since + ds.token_window
+        ds.idempotent || ds.tokened && same && self.window_ends(g).is_none_or(|at| now < at)
+    }
+
+    /// Until when what may have run can be sent again, where it may not simply be repeated.
+    fn window_ends(&self, g: &InHand) -> Option<Duration> {
+        let ran = g.may_have_run.filter(|_| !self.services[g.get.ds].idempotent);
+        ran.map(|(_, at)| at + self.services[g.get.ds].token_window.saturating_sub(self.site.tick))
     }
 
     fn purged_at(&self, get: &Get) -> Option<Duration> {
@@ -361,8 +360,7 @@
     /// else, while busy, a full parent for what it holds, told by the flag that comes with it.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, goes, .. } = self.gets[place];
-        let work = self.learnt[get.ds].sending;
-        let ring = std::mem::take(&mut self.parents);
+        let (work, ring) = (self.learnt[get.ds].sending, std::mem::take(&mut self.parents));
         let paced = |h: &Host| h.fills.has_room(h.fills_out, now);
         let (origin, open) =
             (self.origin, self.reaches == 0.0 || self.origin.is_none_or(|o| paced(&self.hosts[o])));
@@ -481,11 +479,10 @@
         let g = &r.gets[place];
         let (get, key, sending, tried, hops) = (g.get, g.key, g.sending, g.tried, g.hops);
         let left = (g.taken + get.viewer_timeout).saturating_sub(now + r.site.tick * 2);
-        let ds = &r.services[get.ds];
-        let write = ds.write;
+        let (ds, write) = (&r.services[get.ds], r.services[get.ds].write);
         let objective = ds.objective + ds.stretch * sending - (now - g.taken).as_secs_f64();
-        let late = get.size_kb > 0.0 && left.as_secs_f64() < sending;
-        let hopeless = left.is_zero() || late || get.over && !write;
+        let hopeless =
+            left.is_zero() || get.size_kb > 0.0 && left.as_secs_f64() < sending || get.over && !write;
         if hopeless || hops >= r.site.most_forwards.min(MOST_FORWARDS) {
             return self.give_up(place);
         }
@@ -499,8 +496,8 @@
         // While the origin is busy a client's try again has a fill within a budget: first ones can still be in time.
         let late = fill && sending * r.link.slowness(r.site.neighbours, r.site.link) > within
             || get.again && r.busy && !r.again.allows();
-        let source = origin.map(|origin| (origin, false));
-        let source = source.or_else(|| if late { None } else { r.source(place, fill, within, now) });
+        let asked = |r: &mut Router| if late { None } else { r.source(place, fill, within, now) };
+        let source = origin.map(|origin| (origin, false)).or_else(|| asked(r));
         // No fill would be in time: the cache is asked for what it holds, once.
         let look = chosen.filter(|_| source.is_none() && !write && !r.gets[place].source_lacks);
         if fill && !late && chosen.is_some() && source.is_none_or(|(_, held)| held) {
@@ -525,17 +522,17 @@
         let Some(host) = host.filter(|&host| r.may_go(&r.gets[place], host, now)) else {
             return self.give_up(place);
         };
-        // Asked straight, a parent that is its own source would only look.
-        let straight = r.origin.filter(|_| chosen.is_none());
         let forward = Forward {
             host,
-            source: straight.or(source).unwrap_or(host),
+            // Asked straight, a parent that is its own source would only look.
+            source: r.origin.filter(|_| chosen.is_none()).or(source).unwrap_or(host),
             timeout: left,
             keep: if write { 0 } else { r.rank(key) },
             accepted_age: if write { ZERO } else { r.oldest(&get, key, now) },
             join: r.site.joins && !write,
             held_only,
             renew: !r.busy && !write,
+            begin_by: r.window_ends(&r.gets[place]).unwrap_or(ZERO),
         };
         let slowness = r.slowness(host);
         let patience = (objective - sending).max(sending * slowness * PATIENT + PATIENCE);
@@ -594,6 +591,13 @@
         self.free(place);
     }
 
+    /// Its router's end is near: it is answered now, and what is out may run.
+    pub fn cut_short(&mut self, place: Place) {
+        let Some(g) = self.r.gets.get_mut(place).filter(|g| !g.answered) else { return };
+        g.may_have_run = g.may_have_run.or(g.out.as_ref().map(|sent| (sent.to.host, sent.at)));
+        self.give_up(place);
+    }
+
     pub fn outcome(&mut self, place: Place, o: &Outcome) {
         let Some(g) = self.r.gets.get_mut(place) else { return };
         let Some(sent) = g.out.take_if(|s| s.hop == o.hop) else { return };
@@ -630,7 +634,7 @@
         let h = &mut r.hosts[sent.to.host];
         h.crowd.out = (h.crowd.out - 1.0).max(0.0);
         if matches!(o.end, End::Returned | End::Miss | End::Full) || source_failed {
-            h.answered(now);
+            (h.last_answer, h.due) = (now, Duration::MAX);
         }
         let unheard = now >= sent.overdue && h.last_answer < sent.at;
         match o.end {
@@ -659,8 +663,7 @@
         }
         let fills = f64::from(u8::from(sent.fill));
         r.hosts[sent.to.source].fills_out -= fills;
-        let origin = r.origin.unwrap_or(sent.to.source);
-        r.hosts[origin].fills_out -= sent.reaches;
+        r.hosts[r.origin.unwrap_or(sent.to.source)].fills_out -= sent.reaches;
         r.link.out -= fills;
         // Where the wait is untold, only what takes long beside any wait tells the link's pace.
         let tells = r.site.link == 0.0 && (r.site.notes || sending > ds.objective * LONG);
@@ -677,8 +680,8 @@
         }
         let mut pressed = false;
         if sent.fill && returned && r.site.notes && Some(sent.to.source) != r.origin {
-            let asked = f64::from(u8::from(o.note == Note::FilledFromOrigin));
-            r.reaches = blended(r.reaches, asked, REACHES_BLEND);
+            r.reaches =
+                blended(r.reaches, f64::from(u8::from(o.note == Note::FilledFromOrigin)), REACHES_BLEND);
         }
         if !sent.to.held_only && (filled && returned || failed) {
             // What a parent had to ask the origin for tells of the origin; what was cut short, of either.
@@ -710,8 +713,9 @@
         }
         let silent = unfinished && r.hosts[sent.to.source].last_answer < sent.at;
         if filled && !straight {
-            r.hosts[sent.to.source].judge(now, true);
-            r.hosts[sent.to.source].answered(now);
+            let h = &mut r.hosts[sent.to.source];
+            (h.last_answer, h.due) = (now, Duration::MAX);
+            h.judge(now, true);
         } else if (source_failed && o.note != Note::OriginFailed || silent) && !straight {
             r.hosts[sent.to.source].judge(now, false);
         }
@@ -724,7 +728,7 @@
         r.missed(get.ds, u32::from(!hit));
     }
 
-    /// What followers saw of a host, as one outcome; of it no more than its own last few count.
+    /// What followers, or a late connection, tell of a host, as one outcome; of it no more than its own last few count.
     pub fn reported(&mut self, host: HostIndex, success: bool) {
         self.r.hosts.get_mut(host).into_iter().for_each(|h| h.judge(self.now, success));
     }
@@ -743,8 +747,7 @@
     }
 
     pub fn listed<'e>(&mut self, kind: ListKind, entries: impl IntoIterator<Item = &'e Entry>) {
-        let r = &mut *self.r;
-        let mut laid = matches!(kind, ListKind::Whole | ListKind::Kept);
+        let (r, mut laid) = (&mut *self.r, matches!(kind, ListKind::Whole | ListKind::Kept));
         if laid {
             r.hosts.iter_mut().for_each(|h| h.entry.standing = Standing::Gone);
         } else if kind == ListKind::Failed {
@@ -754,8 +757,7 @@
             // What happens to caches elsewhere changes no ring here.
             laid |= r.parental(entry) || r.site.serves(entry.zone) || entry.kind == r.site.origin_kind;
             r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
-            let sharers = r.site.sharers(r.parental(entry));
-            let h = &mut r.hosts[entry.host];
+            let (sharers, h) = (r.site.sharers(r.parental(entry)), &mut r.hosts[entry.host]);
             if h.entry.mark != entry.mark {
                 *h = Host::default();
             } else if h.entry.started < entry.started {
@@ -785,10 +787,9 @@
 
     /// Sends on the fills whose turn it is; a place that is another GET's by now is passed over.
     fn turns(&mut self) {
-        let now = self.now;
         for place in std::mem::take(&mut self.r.waiting) {
             match self.r.gets.get(place).and_then(|g| g.goes) {
-                Some((_, at)) if at <= now => self.decide(place),
+                Some((_, at)) if at <= self.now => self.decide(place),
                 Some(_) => self.r.waiting.push(place),
                 None => {}
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -153,6 +153,8 @@
     /// The source gives only what it holds.
     pub held_only: bool,
     pub renew: bool,
+    /// It may not begin after this, since the router's start: a tokened repeat whose window ends then. Zero: no such end.
+    pub begin_by: Duration,
 }
 
 /// Takes the decisions, in order.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -200,6 +200,8 @@
     address: SocketAddr,
     streams: Vec<Stream>,
     clogged: Option<(Socket, Vec<TcpStream>)>,
+    /// It reads nothing for now, and holds little that it has not read.
+    hangs: bool,
 }
 
 /// A connection there, what came and was not yet understood, and what still has to go out.
@@ -217,6 +219,8 @@
     inbound: Vec<u8>,
     texts: BTreeMap<u16, String>,
     closed: bool,
+    /// It does not close because the other side has.
+    rests: bool,
 }
 
 impl StandIn {
@@ -224,7 +228,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
-        Self { name, listener: Some(listener), address, streams: Vec::new(), clogged: None }
+        Self { name, listener: Some(listener), address, streams: Vec::new(), clogged: None, hangs: false }
     }
 }
 
@@ -237,10 +241,19 @@
 
     pub fn with(settings: Value, room: Room) -> Self {
         let hosts: Vec<_> = HOSTS.iter().map(|name| StandIn::new((*name).into())).collect();
-        let changelog = StandIn::new("change log".into());
         let known = json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true,
-            "endpoints": hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>()}}]})
-        .to_string();
+            "endpoints": hosts.iter().map(|host| line(host, "active", 0)).collect::<Vec<_>>()}}]});
+        Self::over(hosts, settings, room, &known)
+    }
+
+    /// One that is told these events at its start.
+    pub fn knowing(settings: Value, room: Room, known: &Value) -> Self {
+        Self::over(HOSTS.iter().map(|name| StandIn::new((*name).into())).collect(), settings, room, known)
+    }
+
+    fn over(hosts: Vec<StandIn>, settings: Value, room: Room, known: &Value) -> Self {
+        let known = known.to_string();
+        let changelog = StandIn::new("change log".into());
         let turns = EventLoop::try_new().unwrap();
         let startup = Startup {
             zones: None,
@@ -264,7 +277,15 @@
     pub fn client(&mut self) -> usize {
         let stream = TcpStream::connect(self.listen).unwrap();
         stream.set_nonblocking(true).unwrap();
-        self.clients.push(Client { stream, inbound: Vec::new(), texts: BTreeMap::new(), closed: false });
+        // What a test writes is there when it is written, and not once earlier bytes were acknowledged.
+        stream.set_nodelay(true).unwrap();
+        self.clients.push(Client {
+            stream,
+            inbound: Vec::new(),
+            texts: BTreeMap::new(),
+            closed: false,
+            rests: false,
+        });
         self.clients.len() - 1
     }
 
@@ -327,14 +348,128 @@
 
     /// From now on no connection to a host comes up, nor is one refused: its queue is full.
     pub fn clog(&mut self, host: &str) {
-        self.close(host, true);
-        let host = self.host(host);
-        let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        full.set_reuse_address(true).unwrap();
-        full.bind(&host.address.into()).unwrap();
-        full.listen(0).unwrap();
-        let waiting = (0..3).flat_map(|_| TcpStream::connect_timeout(&host.address, ms(20)));
-        host.clogged = Some((full, waiting.collect()));
+        clog(self.host(host));
+    }
+
+    /// What waited in the queue of a clogged host comes up, and it takes connections again; the system asks a second time
+    /// for those that found the queue full.
+    pub fn unclog(&mut self, host: &str) {
+        let host = if host == "change log" { &mut self.changelog } else { self.host(host) };
+        let (full, waiting) = host.clogged.take().expect("it was clogged");
+        drop(waiting);
+        full.listen(64).unwrap();
+        full.set_nonblocking(true).unwrap();
+        host.listener = Some(full.into());
+        // Those that clogged it are among its first.
+        while host.listener.as_ref().is_some_and(|listener| listener.accept().is_ok()) {}
+    }
+
+    /// The change log's queue is full from now on, and what it had open is closed.
+    pub fn clog_changelog(&mut self) {
+        clog(&mut self.changelog);
+    }
+
+    /// A host reads no more, or goes on.
+    pub fn hang(&mut self, host: &str, hangs: bool) {
+        self.host(host).hangs = hangs;
+    }
+
+    /// Each host reads little at once, for connections to come.
+    pub fn narrow(&mut self) {
+        for host in &mut self.hosts {
+            let listener = host.listener.as_ref().unwrap();
+            socket2::SockRef::from(listener).set_recv_buffer_size(4096).unwrap();
+            socket2::SockRef::from(listener).set_tcp_mss(600).unwrap();
+        }
+    }
+
+    /// What a host has read by now of commands that name an id.
+    pub fn reads_of(&self, host: &str, id: u16) -> usize {
+        let (id, mark) = (format!("serve {id:016x}"), format!("{host} reads "));
+        self.trace.lines().filter(|line| line.starts_with(&mark) && line.contains(&id)).count()
+    }
+
+    /// What all hosts have read by now of commands that name an id.
+    pub fn all_reads_of(&self, id: u16) -> usize {
+        HOSTS.iter().map(|host| self.reads_of(host, id)).sum()
+    }
+
+    /// The client's connection is reset.
+    pub fn reset(&mut self, client: usize) {
+        let stream = &self.clients[client].stream;
+        socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+        // The number stays, with a connection to nowhere.
+        let nowhere = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.clients[client].stream = TcpStream::connect(nowhere.local_addr().unwrap()).unwrap();
+        self.clients[client].closed = true;
+    }
+
+    /// From now on this client closes only when it is told to.
+    pub fn rest(&mut self, client: usize) {
+        self.clients[client].rests = true;
+    }
+
+    /// Asked to end once more.
+    pub fn stop_again(&mut self) {
+        self.dispatcher.stop();
+    }
+
+    /// A client writes as much as the system takes now, and the rest while turns go on.
+    pub fn write_some(&mut self, client: usize, mut bytes: &[u8]) {
+        let start = Instant::now();
+        while !bytes.is_empty() && start.elapsed() < ms(1000) {
+            match self.clients[client].stream.write(bytes) {
+                Ok(n) => bytes = &bytes[n..],
+                Err(_) => self.turn(),
+            }
+        }
+    }
+
+    /// What a host still has to write goes out now, without a turn of the dispatcher.
+    pub fn write_out(&mut self, host: &str) {
+        for Stream { socket, outbound, .. } in &mut self.host(host).streams {
+            socket.write_all(outbound).unwrap();
+            outbound.clear();
+        }
+    }
+
+    /// Connections that a host has taken since it was made or clogged.
+    pub fn streams_of(&mut self, host: &str) -> usize {
+        self.host(host).streams.len()
+    }
+
+    /// Of a host's connections, how many the dispatcher has closed, and how many it has reset.
+    pub fn ends_of(&mut self, host: &str) -> (usize, usize) {
+        let (mut closed, mut reset) = (0, 0);
+        for Stream { socket, .. } in &mut self.host(host).streams {
+            if socket.write(b"x").is_err() {
+                reset += 1;
+            } else if matches!(socket.read(&mut [0]), Ok(0)) {
+                closed += 1;
+            }
+        }
+        (closed, reset)
+    }
+
+    pub fn change_log_streams(&self) -> usize {
+        self.changelog.streams.len()
+    }
+
+    /// A piece of an answer of the change log.
+    pub fn trickle(&mut self, piece: &[u8]) {
+        let stream = self.changelog.streams.last_mut().unwrap();
+        stream.inbound.clear();
+        stream.outbound.extend_from_slice(piece);
+    }
+
+    /// Whether what a client writes now, and reads after, meets a reset.
+    pub fn is_reset(&mut self, client: usize) -> bool {
+        let broken = |e: &std::io::Error| e.kind() != std::io::ErrorKind::WouldBlock;
+        let stream = &mut self.clients[client].stream;
+        let written = stream.write_all(&record(5, 99, b"more"));
+        self.settle(20);
+        let stream = &mut self.clients[client].stream;
+        written.is_err() || stream.write_all(&record(5, 99, b"more")).as_ref().is_err_and(broken)
     }
 
     /// A host's line of the list.
@@ -428,8 +563,11 @@
                 let (inbound, outbound, ids) = (Vec::new(), Vec::new(), Vec::new());
                 host.streams.push(Stream { socket: stream, inbound, outbound, ids, read_at: None });
             }
+            let hangs = host.hangs;
             for Stream { socket, inbound, outbound, ids, read_at } in &mut host.streams {
-                let _ = socket.read_to_end(inbound);
+                if !hangs {
+                    let _ = socket.read_to_end(inbound);
+                }
                 let sent = socket.write(outbound).unwrap_or(0);
                 outbound.drain(..sent);
                 while let Some(words) = command(inbound) {
@@ -446,12 +584,26 @@
                 writeln!(trace, "client {i} reads {line}").unwrap();
             }
             if client.closed {
+                if !client.rests {
+                    let _ = client.stream.shutdown(Shutdown::Both);
+                }
                 writeln!(trace, "client {i} is closed").unwrap();
             }
         }
     }
 }
 
+fn clog(host: &mut StandIn) {
+    host.streams.clear();
+    host.listener = None;
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    full.set_reuse_address(true).unwrap();
+    full.bind(&host.address.into()).unwrap();
+    full.listen(0).unwrap();
+    let waiting = (0..3).flat_map(|_| TcpStream::connect_timeout(&host.address, ms(20)));
+    host.clogged = Some((full, waiting.collect()));
+}
+
 fn line(host: &StandIn, status: &str, since: u64) -> Value {
     let (kind, zone) = match host.name.split('-').next() {
         Some("cache") => ("standard", "edge"),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -426,8 +426,8 @@
     rig.settle(1100);
     assert!(!rig.dispatcher.is_done(), "a GET is in hand");
     rig.answer(1, "200", "why=TCP_HIT", "the last");
-    rig.until(1);
-    assert!(rig.dispatcher.is_done());
+    rig.until(2);
+    assert!(rig.dispatcher.is_done(), "all is answered, and all clients have closed");
     assert_snapshot!(rig.trace);
 }
 
