--- a/crates/dispatcher/src/routing/codec.rs
+++ b/crates/dispatcher/src/routing/codec.rs
@@ -38,7 +38,8 @@
             b"" => Some(0),
             _ => read(bytes),
         };
-        let held = request.held.is_empty() || request.held.len() <= TAG_LONG && is_token(&request.held);
+        let listable = |field: &[u8]| field.len() <= TAG_LONG && is_token(field);
+        let held = listable(&request.held) && listable(&request.token);
         Some(Get {
             ds: self.services.iter().position(|name| name == service).filter(|_| usable && held)?,
             object: or_none(|key| hex(key).filter(|_| key.len() == KEY_LONG), &request.key)?,
@@ -78,7 +79,7 @@
 
 /// Digits of an object's or a request's id.
 const KEY_LONG: usize = 16;
-/// Digits of any other number, and bytes of a copy's tag.
+/// Digits of any other number, and bytes of a copy's tag or a request's token.
 const NUMBER_LONG: usize = 10;
 const TAG_LONG: usize = 64;
 /// Groups of objects are numbered up to here.
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -148,7 +148,9 @@
         let (request, to) = (&pending.request, &out.to);
         text.clear();
         put(text, "lane=", &codec.services[pending.get.ds]);
-        for (name, value) in [(",name=", &request.key), (",piece=", &request.part)] {
+        for (name, value) in
+            [(",name=", &request.key), (",piece=", &request.part), (",dedupe=", &request.token)]
+        {
             if !value.is_empty() {
                 put(text, name, value);
             }
--- a/crates/wire/src/protocol/fastcgi.rs
+++ b/crates/wire/src/protocol/fastcgi.rs
@@ -44,6 +44,8 @@
     pub part: Bytes,
     pub group: Bytes,
     pub held: Bytes,
+    /// The mark of a tokened request, by which hosts know a repeat.
+    pub token: Bytes,
     /// The id of the first try of the same GET, and which try this is, where the client marks them.
     pub first: Bytes,
     pub attempt: Bytes,
@@ -196,6 +198,7 @@
                 b"HTTP_X_CHUNK" => &mut request.part,
                 b"HTTP_X_TAG" => &mut request.group,
                 b"HTTP_X_KNOWN" => &mut request.held,
+                b"HTTP_ONCE_KEY" => &mut request.token,
                 b"HTTP_X_FIRST_ID" => &mut request.first,
                 b"HTTP_X_TRY" => &mut request.attempt,
                 _ => return,
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -83,6 +83,25 @@
     assert_snapshot!(rig.trace);
 }
 
+/// A tokened request that may have run is known by its token wherever it is sent next.
+#[test]
+fn a_token_goes_on_as_it_came_with_each_forward() {
+    let mut rig = Rig::new();
+    let token = [("HTTP_ONCE_KEY", "0f4739ac5126432a3ac4bdb04cc333d5")];
+    rig.get(1, "order", &token);
+    rig.until(1);
+    rig.say("the connection ends after it was read: it may have run, and is sent again");
+    let first = rig.last.clone();
+    rig.close(&first, true);
+    rig.until(1);
+    rig.answer(1, "200", "why=TCP_HIT", "done");
+    rig.until(1);
+    rig.say("a token that would say more than it may");
+    rig.get(2, "order", &[("HTTP_ONCE_KEY", "0f,up=origin-5")]);
+    rig.until(1);
+    assert_snapshot!(rig.trace);
+}
+
 #[test]
 fn a_dead_cache_is_met_by_another_forward() {
     let mut rig = Rig::new();
