Drawn orders on sockets and ends under load; a refused request's connection is closed again

Cause: the generated test's first failure: a client whose request was refused before it was whole stayed connected until the end (left 1 client, wanted 0). answers.rs closes a client marked `last` once nothing waits to go out, but since clients are parsed before anything is written it looked before the answer had left, and nothing looked again. write() now does (a_connection_that_is_not_kept_is_closed_behind_its_answer fails without it).

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -231,6 +231,11 @@
         self.proxy.accounts.buffered.level()
     }
 
+    /// Connections of clients, those that are being closed left out.
+    pub fn clients(&self) -> usize {
+        self.proxy.clients.len()
+    }
+
     /// Places of hosts, those that can be taken by a new one included.
     pub fn hosts(&self) -> usize {
         self.proxy.hosts.len()
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -203,8 +203,8 @@
             match who {
                 Who::Client(key) => {
                     let Some(client) = self.clients.get_mut(key) else { continue };
-                    if client.connection.flush().is_err() && !client.ended {
-                        client.ended = true;
+                    client.ended |= client.connection.flush().is_err();
+                    if client.ended || client.last && client.quiet() {
                         self.heard_clients.push_back(key);
                     }
                 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,8 @@
 //! Proof runs: stand-ins on loopback around the real programs, faults drawn from a seed, an oracle that counts at the
 //! stand-ins. `xds` proves the control service, `client` the client library, `return` a fleet
 //! that comes back together, `leave` one that
-//! leaves a zone and returns, `membership` that members know who is there. Exit code 0 only if every promise held; 3 if the machine was too busy
+//! leaves a zone and returns, `membership` that members know who is there, `shutdown` that an end under load loses
+//! nothing. Exit code 0 only if every promise held; 3 if the machine was too busy
 //! to judge.
 
 mod client;
@@ -9,6 +10,7 @@
 mod fleet;
 mod leave;
 mod membership;
+mod shutdown;
 mod stand;
 mod xds;
 
@@ -35,6 +37,8 @@
     Leave(leave::Plan),
     /// Members know who is there: pauses, loss, one-sided cuts, splits, deaths, liars, floods.
     Membership(membership::Plan),
+    /// A dispatcher that is asked to end under load answers all that was taken, and ends.
+    Shutdown(shutdown::Plan),
     /// The control service itself, for a proof run to start and kill.
     #[command(hide = true)]
     Serve { file: PathBuf },
@@ -50,6 +54,7 @@
         Proof::Return(plan) => comeback::run(&plan),
         Proof::Leave(plan) => leave::run(&plan),
         Proof::Membership(plan) => membership::run(&plan),
+        Proof::Shutdown(plan) => shutdown::run(&plan),
         Proof::Dispatch { file: None } => {
             myrtlegauge_operator::logs::start_plain();
             ended(myrtlegauge_dispatcher::program::run())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -202,6 +202,8 @@
     clogged: Option<(Socket, Vec<TcpStream>)>,
     /// It reads nothing for now, and holds little that it has not read.
     hangs: bool,
+    /// When it went on to read.
+    woke: Option<Instant>,
 }
 
 /// A connection there, what came and was not yet understood, and what still has to go out.
@@ -228,7 +230,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
-        Self { name, listener: Some(listener), address, streams: Vec::new(), clogged: None, hangs: false }
+        Self {
+            name,
+            listener: Some(listener),
+            address,
+            streams: Vec::new(),
+            clogged: None,
+            hangs: false,
+            woke: None,
+        }
     }
 }
 
@@ -371,7 +381,11 @@
 
     /// A host reads no more, or goes on.
     pub fn hang(&mut self, host: &str, hangs: bool) {
-        self.host(host).hangs = hangs;
+        let host = self.host(host);
+        if host.hangs && !hangs {
+            host.woke = Some(Instant::now());
+        }
+        host.hangs = hangs;
     }
 
     /// Each host reads little at once, for connections to come.
@@ -433,6 +447,25 @@
         }
     }
 
+    /// What a host still has to write goes out in two pieces.
+    pub fn in_pieces(&mut self, host: &str) {
+        for Stream { socket, outbound, .. } in &mut self.host(host).streams {
+            let half = outbound.len() / 2;
+            let sent = socket.write(&outbound[..half]).unwrap_or(0);
+            outbound.drain(..sent);
+        }
+        // The rest goes out after a turn that sees the first.
+        self.turns.dispatch(Some(ms(1)), &mut self.dispatcher).unwrap();
+        self.dispatcher.turn();
+    }
+
+    /// Whether a host reads nothing for now, or has begun only lately to read what was written before.
+    pub fn is_hanging(&self, host: &str) -> bool {
+        self.hosts.iter().any(|known| {
+            known.name == host && (known.hangs || known.woke.is_some_and(|at| at.elapsed() < ms(50)))
+        })
+    }
+
     /// Connections that a host has taken since it was made or clogged.
     pub fn streams_of(&mut self, host: &str) -> usize {
         self.host(host).streams.len()
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -350,6 +350,28 @@
     assert!(rig.trace.contains(&format!("client {client} reads 1: Status: 400")), "{}", rig.trace);
 }
 
+/// A client that wants its connection closed behind the answer has it closed, once the answer has gone out.
+#[test]
+fn a_connection_that_is_not_kept_is_closed_behind_its_answer() {
+    let mut rig = Rig::new();
+    let (closes, cut) = (rig.client(), rig.client());
+    let mut bytes = request(1, &[("SCRIPT_NAME", "/health")], b"");
+    bytes[10] = 0;
+    rig.write(closes, &bytes);
+    rig.until(2);
+    rig.say("begun, and then nothing: refused after its time, and closed behind that");
+    rig.write(cut, &request(2, &[("SCRIPT_NAME", "/health")], b""));
+    let half = asked(3, "photo", b"");
+    rig.write(cut, &half[..half.len() - 11]);
+    rig.until(3);
+    let answers = |text: &str| rig.trace.matches(text).count();
+    assert_eq!(answers(&format!("client {closes} reads 1: Status: 200")), 1, "{}", rig.trace);
+    assert_eq!(answers(&format!("client {cut} reads 3: Status: 400")), 1, "{}", rig.trace);
+    for client in [closes, cut] {
+        assert_eq!(answers(&format!("client {client} is closed")), 1, "{}", rig.trace);
+    }
+}
+
 #[test]
 fn an_idle_connection_to_a_host_is_closed_without_a_reset() {
     let mut told = settings();
