--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,69 @@
+//! What tests of the program share: its start, its configuration, files of their own. Each test file uses a part of it.
+#![allow(dead_code)]
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command};
+
+pub fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_myrtlegauge"))
+}
+
+/// What the platform tells a dispatcher.
+pub fn config(listen: SocketAddr, changelog: SocketAddr, sockets: usize, known: &Value) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim_ms": 500.0, "aim_stretch": 1.6, "deadline_ms": 5000.0,
+            "effect": effect, "group": "zone", "key_ttl_ms": 5000.0})
+    };
+    json!({
+        "name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+        "changelog": changelog.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known,
+        "settings": {
+            "balancers": 2, "my_zone": 1, "discovery": "pushed", "weights": "rough", "resolution_ms": 2.0,
+            "zones": ["hub", "edge"], "kinds": ["standard", "parent", "origin"],
+            "classes": [class("video", "idempotent"), class("confirm", "at_most_once")],
+            "domain": {"count_by_zone": [0, 2], "hub_of": [0, 0], "shield_kind": 1, "master_kind": 2,
+                "flow_kb_per_s": 10000.0, "shares_fills": false, "pass_through_ok": true, "note_level": "all",
+                "lifetime_by_class_ms": [0.0, 0.0], "grace_for_ms": [0.0, 0.0], "pass_on": [false, true],
+                "parent_floor": 0.08, "parent_cold_ms": 20000.0, "parent_breaks_at": 2.0,
+                "gone_everywhere_ms": 6000.0, "obey_after_ms": 1000.0},
+            "limits": {"cancel": true, "retry_after": true, "max_retry_after_ms": 2000.0, "max_attempts": 8,
+                "streams_per_conn": 100, "connect_timeout_ms": 400.0, "conn_idle_ms": 15000.0},
+            "obligations": {"start_capacity": 0.22, "warm_within_ms": 17000.0, "fall_multiple": 2.0,
+                "fall_ms": 1000.0}
+        }
+    })
+}
+
+/// A file of its own for a test, taken away at its end.
+pub struct File(pub PathBuf);
+
+impl File {
+    pub fn new(name: &str, text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("myrtlegauge-{}-{name}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Ends what a test has started.
+pub struct Ends(pub Child);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,17 +1,15 @@
 //! The program as an operator or a script meets it.
 
+mod common;
+
+use common::{Ends, File, program};
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
 const EXAMPLE: &str = include_str!("../../../deploy/control.sexp");
 
-fn program() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_myrtlegauge"))
-}
-
 fn run(arguments: &[&str]) -> Output {
     program().args(arguments).output().expect("the program starts")
 }
@@ -20,27 +18,6 @@
     String::from_utf8_lossy(bytes).into_owned()
 }
 
-/// A file of its own for a test, taken away at its end.
-struct File(PathBuf);
-
-impl File {
-    fn new(name: &str, text: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("myrtlegauge-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).unwrap();
-        Self(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().unwrap()
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 #[test]
 fn a_file_is_checked_whole_and_the_exit_code_tells() {
     let good = File::new("good.sexp", EXAMPLE);
@@ -74,16 +51,6 @@
     assert!(text(&run(&["check", "--explain"]).stdout).contains("purge-grace"));
 }
 
-/// Ends what a test has started.
-struct Ends(Child);
-
-impl Drop for Ends {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 #[test]
 fn a_service_runs_is_asked_reads_its_hosts_again_and_ends() {
     let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
@@ -152,29 +119,12 @@
 fn the_program_as_the_platform_starts_it_opens_nothing_else() {
     let changelog = TcpListener::bind("127.0.0.1:0").unwrap();
     let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let class = |name: &str, effect: &str| {
-        serde_json::json!({"name": name, "aim_ms": 500.0, "aim_stretch": 1.6, "deadline_ms": 5000.0,
-            "effect": effect, "group": "zone", "key_ttl_ms": 5000.0})
-    };
-    let told = serde_json::json!({
-        "name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
-        "changelog": changelog.local_addr().unwrap().to_string(),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"seq": 0, "results": []},
-        "settings": {
-            "balancers": 2, "my_zone": 1, "discovery": "pushed", "weights": "rough", "resolution_ms": 2.0,
-            "zones": ["hub", "edge"], "kinds": ["standard", "parent", "origin"],
-            "classes": [class("video", "idempotent"), class("confirm", "at_most_once")],
-            "domain": {"count_by_zone": [0, 2], "hub_of": [0, 0], "shield_kind": 1, "master_kind": 2,
-                "flow_kb_per_s": 10000.0, "shares_fills": false, "pass_through_ok": true, "note_level": "all",
-                "lifetime_by_class_ms": [0.0, 0.0], "grace_for_ms": [0.0, 0.0], "pass_on": [false, true],
-                "parent_floor": 0.08, "parent_cold_ms": 20000.0, "parent_breaks_at": 2.0,
-                "gone_everywhere_ms": 6000.0, "obey_after_ms": 1000.0},
-            "limits": {"cancel": true, "retry_after": true, "max_retry_after_ms": 2000.0, "max_attempts": 8,
-                "streams_per_conn": 100, "connect_timeout_ms": 400.0, "conn_idle_ms": 15000.0},
-            "obligations": {"start_capacity": 0.22, "warm_within_ms": 17000.0, "fall_multiple": 2.0,
-                "fall_ms": 1000.0}
-        }
-    });
+    let told = common::config(
+        listen,
+        changelog.local_addr().unwrap(),
+        1024,
+        &serde_json::json!({"seq": 0, "results": []}),
+    );
     let file = File::new("router.json", &told.to_string());
     let mut child = program();
     child.env("ROUTER_CONFIG", file.path()).stdout(Stdio::null()).stderr(Stdio::null());
