A GET that comes again takes no connection it was answered on: a second answer ends no other forward

Cause: a host that answers one forward twice, the second time some ms late, ended the forward that had been sent to it anew meanwhile: read_link matched answers by id and connection alone, and link_to gave the second forward the same connection. Ruled out: both answers in one read, and the second on another connection (strays already).

Change: a GET keeps the connections on which it was answered with anything but its object, and link_to passes them by.

--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -32,7 +32,7 @@
         self.forwards += 1;
         let serial = self.forwards;
         let allowed = hop < most;
-        let link = if allowed { self.link_to(f.host) } else { Err(End::NeverSent) };
+        let link = if allowed { self.link_to(f.host, place) } else { Err(End::NeverSent) };
         self.in_flight.at(place).out =
             Some(Out { hop, serial, at: now, until, link: link.ok(), message: None, to: *f });
         self.counters.forwards += 1;
@@ -96,9 +96,13 @@
     /// The connection that takes a forward to a host: the emptiest that is up, else one that is coming up, else a
     /// new one. Where all are in use one more is opened for later, up to a few: one that is spoilt or reset takes
     /// down what is out on it. It hurts a host that many dispatchers connect to, by a connection each.
-    fn link_to(&mut self, host: HostIndex) -> Result<Key, End> {
+    ///
+    /// A GET that comes again takes no connection on which it was answered before: a second answer that comes late there
+    /// would be taken for the end of a forward that is still out.
+    fn link_to(&mut self, host: HostIndex, place: Place) -> Result<Key, End> {
+        let before = &self.in_flight.peek(place).answered_on;
         let (links, streams, own) = (&self.links, self.limits.streams, &self.hosts[host].links);
-        let open = own.iter().copied().filter(|&key| links[key].takes(streams));
+        let open = own.iter().copied().filter(|&key| links[key].takes(streams) && !before.contains(&key));
         let first = open.min_by_key(|&key| (!links[key].up, links[key].out.len()));
         let Some(key) = first else { return self.open_link(host) };
         let few = own.len() < LINKS_EACH.min(self.most_links / self.hosts.len());
@@ -364,7 +368,11 @@
     }
 
     fn answered(&mut self, place: Place, mut end: End, answer: resp::Answer) -> Option<Outcome> {
-        let out = self.in_flight.at(place).out.take();
+        let pending = self.in_flight.at(place);
+        let out = pending.out.take();
+        if end != End::Returned {
+            pending.answered_on.extend(out.and_then(|out| out.link));
+        }
         self.counters.must(out.is_some(), "an answer is matched to a forward that is out");
         let told = Told {
             note: codec::note(&answer),
@@ -377,7 +385,10 @@
             }
             match self.returned(place, &answer.word, answer.body) {
                 Some(answer) => _ = self.pay(place, &answer),
-                None => end = End::Spoilt,
+                None => {
+                    end = End::Spoilt;
+                    self.in_flight.at(place).answered_on.extend(out.and_then(|out| out.link));
+                }
             }
         }
         Some(self.outcome(place, &out?, end, told))
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -25,7 +25,7 @@
 use myrtlegauge_wire::places::Places;
 use myrtlegauge_wire::protocol::changelog;
 use myrtlegauge_wire::transport::{Accounts, Hub, Listener, Owner};
-pub use proxy::{Proxy, Room};
+pub use proxy::{Lines, Proxy, Room};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -447,6 +447,14 @@
         }
     }
 
+    /// The first connection on which a host read an id gives another answer under it.
+    pub fn first_answers_again(&mut self, host: &str, id: u16, word: &str) {
+        let id = format!("{id:016x}");
+        let stream = self.host(host).streams.iter_mut().find(|stream| stream.ids.contains(&id)).unwrap();
+        let told = format!("*4\r\n$16\r\n{id}\r\n$3\r\n{word}\r\n$1\r\n-\r\n$0\r\n\r\n");
+        stream.outbound.extend_from_slice(told.as_bytes());
+    }
+
     /// What a host still has to write goes out in two pieces.
     pub fn in_pieces(&mut self, host: &str) {
         for Stream { socket, outbound, .. } in &mut self.host(host).streams {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -406,6 +406,27 @@
     assert_eq!(rig.all_reads_of(1), 1, "{}", rig.trace);
 }
 
+/// A host answers twice, the second time some ms late: that is not the answer to what was sent to it anew.
+#[test]
+fn a_second_answer_that_comes_late_ends_no_other_forward() {
+    let mut rig = Rig::new();
+    let drains = ["cache-1", "cache-2"].map(|name| json!({"name": name, "status": "leaving"}));
+    let told = json!({"seq": 2, "fleet": {"endpoints": drains}});
+    rig.changes(&json!({"seq": 2, "results": [told]}).to_string());
+    rig.polled();
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    rig.answer(1, "500", "why=PEER_DEAD", "");
+    rig.until(1);
+    assert_eq!(rig.reads_of("cache-0", 1), 2, "no other cache is left: {}", rig.trace);
+    rig.first_answers_again("cache-0", 1, "500");
+    rig.settle(50);
+    assert_eq!(rig.all_reads_of(1), 2, "one forward out at a time: {}", rig.trace);
+    rig.answer(1, "200", "why=TCP_HIT", "the bytes");
+    rig.until(1);
+    assert!(rig.trace.ends_with("| the bytes\n"), "{}", rig.trace);
+}
+
 #[test]
 fn a_tokened_repeat_does_not_begin_after_its_window() {
     let mut told = settings();
