--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -301,8 +301,57 @@
     ended(&mut rig, 1000);
 }
 
+#[test]
+fn a_list_change_and_a_moved_change_log_count_while_draining() {
+    let mut rig = Rig::new();
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    let first = rig.last.clone();
+    rig.dispatcher.stop();
+    let drains = json!({"seq": 2, "fleet": {"endpoints": [{"name": first, "status": "leaving"}]}});
+    rig.changes(&json!({"seq": 2, "results": [drains]}).to_string());
+    rig.polled();
+    rig.get(2, "video", &[]);
+    rig.until(1);
+    assert_ne!(rig.last, first, "{}", rig.trace);
+    rig.move_changelog();
+    rig.poll();
+    assert!(
+        rig.trace.ends_with("change log reads GET /changes?since=2&timeout=500 HTTP/1.1\n"),
+        "{}",
+        rig.trace
+    );
+    for id in [2, 1] {
+        rig.answer(id, "200", "why=TCP_HIT", "the bytes");
+        rig.last.clone_from(&first);
+    }
+    rig.until(2);
+    ended(&mut rig, 1000);
+    assert_eq!(rig.trace.matches("| the bytes").count(), 2, "{}", rig.trace);
+}
+
 // Closing what is idle.
 
+#[test]
+fn a_close_from_both_sides_at_once_is_one() {
+    let mut rig = Rig::new();
+    rig.get(1, "video", &[]);
+    rig.until(1);
+    rig.answer(1, "200", "why=TCP_HIT", "the bytes");
+    rig.until(1);
+    let (host, other) = (rig.last.clone(), rig.client());
+    rig.settle(20);
+    rig.dispatcher.stop();
+    rig.settle(650);
+    // The client and the host close in the span in which the dispatcher does.
+    rig.hang_up(0);
+    rig.reset(other);
+    rig.close(&host, false);
+    sleep(ms(100));
+    ended(&mut rig, 100);
+    assert_eq!((rig.dispatcher.clients(), rig.dispatcher.buffered()), (0, 0));
+}
+
 #[test]
 fn a_request_that_came_on_the_connection_idle_for_longest_is_answered() {
     let mut rig = Rig::with(settings(), Room { descriptors: 6, memory: 192 << 20 });
@@ -392,6 +441,44 @@
 
 // Answers and retries.
 
+/// What has left whole may have run, and is never sent again; what has not is proven not run.
+#[test]
+fn a_host_that_closes_under_writes_has_run_only_what_left_whole() {
+    let mut rig = Rig::new();
+    rig.narrow();
+    rig.hang("origin-5", true);
+    let numbers = 1..=20;
+    for number in numbers.clone() {
+        rig.write(0, &asked(number, "confirm", &[b'x'; 40_000]));
+        rig.settle(5);
+    }
+    rig.close("origin-5", false);
+    rig.hang("origin-5", false);
+    rig.settle(200);
+    let count = |id: u16| {
+        let errored = rig.trace.matches(&format!("client 0 reads {id}: Status: 502")).count();
+        (errored, rig.all_reads_of(id))
+    };
+    let ends: Vec<(usize, usize)> = numbers.map(count).collect();
+    assert!(ends.iter().all(|end| matches!(end, (1, 0) | (0, 1))), "{ends:?}");
+    assert!(ends.contains(&(1, 0)) && ends.contains(&(0, 1)), "both were forced: {ends:?}");
+}
+
+#[test]
+fn a_connection_that_is_up_in_the_turn_in_which_its_time_ends_is_used() {
+    let mut told = settings();
+    told["limits"]["connect_timeout_ms"] = json!(1150.0);
+    let mut rig = Rig::with(told, ROOMY);
+    rig.clog("cache-0");
+    rig.get(1, "video", &[]);
+    rig.settle(50);
+    rig.unclog("cache-0");
+    // The system asks a second time after 1 s; nothing turns until its time is over too.
+    sleep(ms(1200));
+    rig.until(1);
+    assert_eq!((rig.reads_of("cache-0", 1), rig.all_reads_of(1)), (1, 1), "{}", rig.trace);
+}
+
 #[test]
 fn an_answer_and_the_end_of_its_connection_read_together_are_an_answer() {
     let mut rig = Rig::new();
