After the reading: one loop receives, one place writes a test's request

Change: receive() serves both, common::asked serves the three, stop is called straight, the comment says 0.1 s beside. No behaviour, bound or assertion changed; the generated test's requests carry a part and a group too, as the others'.

Measured: tests of root, dispatcher, wire, client and cli pass, clippy and fmt clean.

--- a/crates/dispatcher/src/routing/lifecycle.rs
+++ b/crates/dispatcher/src/routing/lifecycle.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Requests come for so long after a restart is asked for, by the protocol page: new connections for 0.4 s, requests on
-/// open ones for 0.2 s more; and as much again for one that was on its way as a slow network takes.
+/// open ones for 0.2 s more; and 0.1 s beside, for one that was on its way over a slow network.
 const TAKES_FOR: Duration = Duration::from_millis(700);
 /// The process is killed no earlier than the longest deadline after it was asked, which counts as this where it is longer,
 const KILLED_AFTER_MOST: Duration = Duration::from_millis(3000);
--- a/crates/wire/src/transport/connection.rs
+++ b/crates/wire/src/transport/connection.rs
@@ -103,22 +103,12 @@
     /// Reads what has come, by way of a buffer that all connections share; not much over `most` bytes in one turn, so
     /// that one that is never dry can't keep the others waiting.
     pub fn read(&mut self, shared: &mut [u8], most: usize) -> Reading {
-        let mut read = 0;
-        while read < most {
-            match (&*self.stream).read(shared) {
-                Ok(0) => return Reading::Ended,
-                Ok(n) => {
-                    read += n;
-                    self.inbound.extend_from_slice(&shared[..n]);
-                    self.accounts.buffered.add(n);
-                    self.accounts.bytes_in.add(n);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Reading::Ended,
-            }
-        }
-        Reading::More
+        let Self { stream, inbound, accounts, .. } = self;
+        receive(stream, shared, most, |bytes| {
+            inbound.extend_from_slice(bytes);
+            accounts.buffered.add(bytes.len());
+            accounts.bytes_in.add(bytes.len());
+        })
     }
 
     /// Lets a parser take from what came in; what it took is no longer counted as held here.
@@ -172,17 +162,7 @@
 
     /// Reads what has come and throws it away, as far as `read` would go.
     pub fn discard(&mut self, shared: &mut [u8], most: usize) -> Reading {
-        let mut read = 0;
-        while read < most {
-            match (&*self.stream).read(shared) {
-                Ok(0) => return Reading::Ended,
-                Ok(n) => read += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Reading::Ended,
-            }
-        }
-        Reading::More
+        receive(&self.stream, shared, most, |_| ())
     }
 
     /// Writes what the system takes; an error tells that the connection is over.
@@ -240,6 +220,24 @@
     }
 }
 
+/// Hands on what has come, as far as `most` allows.
+fn receive(mut stream: &TcpStream, shared: &mut [u8], most: usize, mut each: impl FnMut(&[u8])) -> Reading {
+    let mut read = 0;
+    while read < most {
+        match stream.read(shared) {
+            Ok(0) => return Reading::Ended,
+            Ok(n) => {
+                read += n;
+                each(&shared[..n]);
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Reading::Dry,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Reading::Ended,
+        }
+    }
+    Reading::More
+}
+
 /// What Linux answers to a connect that goes on behind.
 const IN_PROGRESS: i32 = 115;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -309,20 +309,7 @@
 
     /// A GET of the first client: its number, its delivery service, and what it sends with it.
     pub fn get(&mut self, number: u16, ds: &str, extra: &[(&str, &str)]) {
-        let (id, path) = (format!("{number:016x}"), format!("/rpc/{ds}"));
-        let mut params = vec![
-            ("SCRIPT_NAME", &*path),
-            ("HTTP_REQUEST_ID", &id),
-            ("HTTP_BUDGET_MS", "3000"),
-            ("HTTP_RESOURCE_KEY", "7f3a9c21e0b4d655"),
-            ("HTTP_X_CHUNK", "3"),
-            ("HTTP_X_TAG", "17"),
-        ];
-        for &(name, value) in extra {
-            params.retain(|&(known, _)| known != name);
-            params.push((name, value));
-        }
-        self.write(0, &request(number, &params, b""));
+        self.write(0, &asked(number, ds, extra, b""));
     }
 
     fn host(&mut self, name: &str) -> &mut StandIn {
@@ -423,11 +410,6 @@
         self.clients[client].rests = true;
     }
 
-    /// Asked to end once more.
-    pub fn stop_again(&mut self) {
-        self.dispatcher.stop();
-    }
-
     /// A client writes as much as the system takes now, and the rest while turns go on.
     pub fn write_some(&mut self, client: usize, mut bytes: &[u8]) {
         let start = Instant::now();
@@ -721,6 +703,25 @@
     out
 }
 
+/// A request for a part of an object as a client writes it: its number, its delivery service, what it tells otherwise than
+/// usual, and its body.
+pub fn asked(number: u16, ds: &str, extra: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let (id, path) = (format!("{number:016x}"), format!("/rpc/{ds}"));
+    let mut params = vec![
+        ("SCRIPT_NAME", &*path),
+        ("HTTP_REQUEST_ID", &id),
+        ("HTTP_BUDGET_MS", "3000"),
+        ("HTTP_RESOURCE_KEY", "7f3a9c21e0b4d655"),
+        ("HTTP_X_CHUNK", "3"),
+        ("HTTP_X_TAG", "17"),
+    ];
+    for &(name, value) in extra {
+        params.retain(|&(known, _)| known != name);
+        params.push((name, value));
+    }
+    request(number, &params, body)
+}
+
 /// A request as a client writes it, its parameters over two records.
 pub fn request(number: u16, params: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut told = Vec::new();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -11,18 +11,9 @@
 
 const ROOMY: Room = Room { descriptors: 1024, memory: 192 << 20 };
 
-/// A request of the first client as it writes it, with `body`.
+/// A request as a client writes it, with `body`.
 fn asked(number: u16, ds: &str, body: &[u8]) -> Vec<u8> {
-    let (id, path) = (format!("{number:016x}"), format!("/rpc/{ds}"));
-    let params = [
-        ("SCRIPT_NAME", &*path),
-        ("HTTP_REQUEST_ID", &id),
-        ("HTTP_BUDGET_MS", "3000"),
-        ("HTTP_RESOURCE_KEY", "7f3a9c21e0b4d655"),
-        ("HTTP_X_CHUNK", "3"),
-        ("HTTP_X_TAG", "17"),
-    ];
-    request(number, &params, body)
+    common::asked(number, ds, &[], body)
 }
 
 fn abort(number: u16) -> Vec<u8> {
@@ -279,7 +270,7 @@
     rig.until(1);
     rig.deaf = true;
     rig.dispatcher.stop();
-    rig.stop_again();
+    rig.dispatcher.stop();
     rig.answer(1, "200", "why=TCP_HIT", &"x".repeat(240_000));
     // The least time to the kill that these settings leave is 1 s.
     let took = ended(&mut rig, 1000);
--- a/tests/generated.rs
+++ b/tests/generated.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{HOSTS, Rig, ms, record, request, settings};
+use common::{HOSTS, Rig, asked, ms, record, settings};
 use myrtlegauge_dispatcher::routing::Room;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
@@ -92,15 +92,8 @@
 const SERVICES: [&str; 4] = ["video", "photo", "confirm", "order"];
 
 fn written(number: u16, service: usize, object: u8) -> Vec<u8> {
-    let (id, path) = (format!("{number:016x}"), format!("/rpc/{}", SERVICES[service]));
     let object = format!("{object:016x}");
-    let params = [
-        ("SCRIPT_NAME", &*path),
-        ("HTTP_REQUEST_ID", &id),
-        ("HTTP_BUDGET_MS", "400"),
-        ("HTTP_RESOURCE_KEY", &object),
-    ];
-    request(number, &params, b"")
+    asked(number, SERVICES[service], &[("HTTP_BUDGET_MS", "400"), ("HTTP_RESOURCE_KEY", &object)], b"")
 }
 
 impl Play {
