--- /dev/null
+++ b/crates/lab/src/faults/mod.rs
@@ -0,0 +1,185 @@
+//! Proof of the platform's rules under faults: real dispatcher processes before stand-in caches, of which one starts cold, with
+//! stepped clocks, kills, pauses, a silent change log, stalled and broken links, and system calls that fail.
+//!
+//! Checked: what a cache in slow start gets from all dispatchers together, copies from before a purge, effects that run
+//! twice, requests that are lost, and invariants that the dispatchers themselves count as violated.
+
+pub mod cases;
+pub mod fleet;
+mod load;
+mod schedule;
+mod slow_start;
+
+use crate::stand;
+use cases::Case;
+use clap::ValueEnum;
+use fleet::{Fleet, Scale, SlowStartTerms};
+use load::Tally;
+use schedule::Event;
+use serde_json::json;
+use slow_start::Worst;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A lag of the machine's own beyond which a break is not held against the program.
+const TOO_BUSY: Duration = Duration::from_millis(120);
+/// Caches of the fleet.
+const CACHES: usize = 4;
+/// What a cache that is warm again gets, beside the mean of the others, at least.
+const WARM_SHARE: f64 = 0.7;
+/// A cache is looked at for that so long after it has to be warm, over so long a time: a start may be heard of late, by
+/// what the change log may take to tell of it.
+const WARM_AFTER: Duration = Duration::from_millis(1500);
+const WARM_OVER: Duration = Duration::from_millis(2000);
+
+#[derive(clap::Args)]
+pub struct Plan {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 12)]
+    dispatchers: usize,
+    /// Requests a second of all clients.
+    #[arg(long, default_value_t = 360.0)]
+    rate: f64,
+    /// One case alone; else all of them, one after another.
+    #[arg(long)]
+    case: Option<Case>,
+    /// Of the schedule's events only these, by number from 0: to find the least that still fails.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<usize>,
+    /// The small form: sizes for a shared machine.
+    #[arg(long)]
+    quick: bool,
+}
+
+pub fn run(plan: &Plan) -> ExitCode {
+    stand::run(prove(plan))
+}
+
+async fn prove(plan: &Plan) -> Result<ExitCode, String> {
+    let cases = plan.case.map_or_else(|| Case::value_variants().to_vec(), |case| vec![case]);
+    let (mut held, mut judged) = (true, true);
+    for case in cases {
+        let scale = scale(plan);
+        let events = cases::events(case, scale.dispatchers);
+        let events = select(events, &plan.only);
+        let name = case.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned());
+        let found = play(scale, plan.rate, &events).await?;
+        found.print(&name, plan.seed, &events);
+        held &= found.holds();
+        judged &= found.holds() || found.lag < TOO_BUSY;
+    }
+    Ok(stand::verdict(held, judged))
+}
+
+fn scale(plan: &Plan) -> Scale {
+    let terms = SlowStartTerms {
+        start_capacity: 0.22,
+        warm_within: Duration::from_secs(10),
+        fall_multiple: 1.5,
+        fall_within: Duration::from_secs(1),
+    };
+    let dispatchers = if plan.quick { plan.dispatchers.min(8) } else { plan.dispatchers };
+    Scale { dispatchers, caches: CACHES, terms, seed: plan.seed }
+}
+
+/// The events with these numbers; all where none are named.
+fn select(events: Vec<Event>, only: &[usize]) -> Vec<Event> {
+    let kept = events.into_iter().enumerate().filter(|(number, _)| only.is_empty() || only.contains(number));
+    kept.map(|(_, event)| event).collect()
+}
+
+/// What a run came to.
+struct Found {
+    worst: Worst,
+    /// What the caches that started cold got when they had to be warm again, beside the mean of the others, at least.
+    warm_share: f64,
+    breaks: Vec<String>,
+    ends: std::collections::BTreeMap<&'static str, u64>,
+    lag: Duration,
+}
+
+impl Found {
+    fn holds(&self) -> bool {
+        self.breaks.is_empty()
+    }
+
+    fn print(&self, name: &str, seed: u64, events: &[Event]) {
+        let Worst { ratio, arrivals, bound, age } = self.worst;
+        println!(
+            "{name:<20} slow start {ratio:.2} of its bound ({arrivals} of {bound:.0} at {age:.1?}), warm again {:.2} of the \
+             others, {:?}, lag {:?}",
+            self.warm_share, self.ends, self.lag
+        );
+        for what in &self.breaks {
+            println!("BROKEN {what}");
+        }
+        if !self.holds() {
+            for (number, event) in events.iter().enumerate() {
+                println!("  event {number}: {:?} {:?}", event.at, event.fault);
+            }
+            println!("replay: cargo run --release -p myrtlegauge-lab -- faults --seed {seed} --case {name}");
+        }
+        let summary = json!({"proof": "faults", "case": name, "seed": seed, "held": self.holds(), "slow_start": ratio,
+            "warm_share": self.warm_share, "broken": self.breaks.len(), "ends": self.ends,
+            "lag_ms": self.lag.as_secs_f64() * 1e3});
+        println!("{summary}");
+    }
+}
+
+/// Plays a schedule on a fleet under load.
+async fn play(scale: Scale, rate: f64, events: &[Event]) -> Result<Found, String> {
+    let lag = Arc::new(AtomicU64::new(0));
+    let watch = tokio::spawn(stand::watch(Arc::clone(&lag)));
+    let fleet = Fleet::start(scale).await?;
+    let tally = Arc::new(Tally::default());
+    let last = events.iter().map(|event| event.at).max().unwrap_or_default();
+    let runs_for = last.max(cases::CRASH_AT) + scale.terms.warm_within + WARM_AFTER + WARM_OVER;
+    let until = Instant::now() + runs_for;
+    lag.store(0, Ordering::Relaxed);
+    let playing = {
+        let (fleet, events) = (Arc::clone(&fleet), events.to_vec());
+        tokio::spawn(async move { schedule::play(&fleet, &events).await })
+    };
+    load::run(&fleet, rate, until, &tally).await;
+    playing.await.map_err(|e| e.to_string())??;
+    watch.abort();
+    let worst = slow_start::judge(&fleet);
+    let (_, mut breaks) = fleet.ledger.breaks();
+    for (start, worst) in worst.iter().filter(|(_, worst)| worst.ratio > 1.0) {
+        let Worst { arrivals, bound, age, .. } = worst;
+        let cache = start.cache;
+        breaks.push(format!(
+            "cache {cache} in slow start got {arrivals} requests within a window that bears {bound:.0}, {age:.1?} after its start"
+        ));
+    }
+    let warm_share = warm_share(&fleet, until);
+    if warm_share < WARM_SHARE {
+        breaks.push(format!("a cache that has to be warm again gets {warm_share:.2} of what the others get"));
+    }
+    breaks.extend(fleet.violations_logged().await);
+    let worst = worst.into_iter().map(|(_, worst)| worst).max_by(|a, b| a.ratio.total_cmp(&b.ratio));
+    Ok(Found {
+        worst: worst.unwrap_or_default(),
+        warm_share,
+        breaks,
+        ends: tally.ends(),
+        lag: Duration::from_micros(lag.load(Ordering::Relaxed)),
+    })
+}
+
+/// What the caches that started cold got at the end, beside the mean of the others, at least; 1 where none started.
+fn warm_share(fleet: &Fleet, until: Instant) -> f64 {
+    let started: Vec<usize> =
+        fleet.cold_starts.lock().expect("no holder panics").iter().map(|start| start.cache).collect();
+    let got = |cache: usize| {
+        let came = fleet.hosts[cache].came();
+        came.iter().filter(|(at, _)| *at + WARM_OVER >= until && *at < until).count() as f64
+    };
+    let others: Vec<f64> =
+        (0..fleet.scale.caches).filter(|cache| !started.contains(cache)).map(got).collect();
+    let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
+    started.iter().map(|&cache| got(cache) / mean.max(1.0)).fold(1.0, f64::min)
+}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 //! and stand-ins observe.
 
 pub mod bound;
-mod dispatchers;
+pub mod dispatchers;
 mod faults;
 pub mod front;
 pub mod judge;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 
 mod capacity;
 mod client;
+mod faults;
 mod fleet;
 mod leave;
 mod membership;
@@ -45,6 +46,8 @@
     Capacity(capacity::Plan),
     /// A purge that a replica calls in force is in force: replicas killed, restarted, cut off; dispatchers frozen.
     Replication(replication::Plan),
+    /// The platform's rules under faults: a cold cache beside stepped clocks, kills, pauses, a silent change log.
+    Faults(faults::Plan),
     /// A replica that also publishes the records it reads on standard input, for `replication` to start and kill.
     #[command(hide = true)]
     PublishingReplica { file: PathBuf },
@@ -76,6 +79,7 @@
         Proof::Shutdown(plan) => shutdown::run(&plan),
         Proof::Capacity(plan) => capacity::run(&plan),
         Proof::Replication(plan) => replication::run(&plan),
+        Proof::Faults(plan) => faults::run(&plan),
         Proof::PublishingReplica { file } => ended(
             told(&file).and_then(|told| replication::replica_program::run(&told).map_err(|e| e.to_string())),
         ),
--- a/crates/lab/src/stand/asker.rs
+++ b/crates/lab/src/stand/asker.rs
@@ -77,6 +77,11 @@
 
     /// Asks once, on a connection that is kept or a new one.
     pub async fn ask(&self, asked: &Asked<'_>) -> Ended {
+        self.ask_within(asked, asked.deadline).await
+    }
+
+    /// The same, but waits for `patience`, which may be longer than the deadline that it tells.
+    pub async fn ask_within(&self, asked: &Asked<'_>, patience: Duration) -> Ended {
         let kept = self.pool.lock().expect("no holder panics").pop();
         let stream = match kept {
             Some(kept) => Ok(kept),
@@ -86,7 +91,7 @@
         let _ = stream.set_nodelay(true);
         let number = self.numbers.fetch_add(1, Ordering::Relaxed).max(1);
         let answer =
-            tokio::time::timeout(asked.deadline, exchange(&mut stream, number, self.draw_id(), asked)).await;
+            tokio::time::timeout(patience, exchange(&mut stream, number, self.draw_id(), asked)).await;
         let answer = match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(e)) => {
--- a/crates/lab/src/stand/changelog.rs
+++ b/crates/lab/src/stand/changelog.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy)]
 pub enum Tells {
     List,
+    /// The start of a host, by the ledger's number.
+    Start(usize),
     Drain(usize),
     Purge(usize),
 }
@@ -204,6 +206,7 @@
                 match *tells {
                     Tells::Drain(host) => self.ledger.drain_told(host),
                     Tells::Purge(purge) => self.ledger.purge_told(purge, who),
+                    Tells::Start(start) => self.ledger.start_told(start, who),
                     Tells::List => {}
                 }
             }
--- a/crates/lab/src/stand/hosts.rs
+++ b/crates/lab/src/stand/hosts.rs
@@ -4,8 +4,8 @@
 //! is gone runs on.
 
 use super::ledger::{Ledger, unix_ms};
-use super::listener;
 use super::net::{Net, Party, Passed};
+use super::process::own_address;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 /// ms; the fresh time of the service whose copies age.
 pub const FRESH_MS: f64 = 5000.0;
@@ -132,6 +132,10 @@
     /// It answers nothing until then, as one that is dead.
     down_until: Mutex<Option<Instant>>,
     began: Mutex<Option<Instant>>,
+    /// It reads nothing until then.
+    stalled_until: Mutex<Option<Instant>>,
+    /// Processes that it has had, and how long the next one stays away; connections end with theirs.
+    process: watch::Sender<Process>,
     listeners: Mutex<Vec<(Party, std::net::TcpListener)>>,
     store: Mutex<Store>,
     /// When GETs came, and from whom.
@@ -145,6 +149,14 @@
     net: Arc<Net>,
 }
 
+/// A life of the host's process.
+#[derive(Clone, Copy, Default)]
+struct Process {
+    number: u32,
+    /// How long nobody listened before it.
+    away: Duration,
+}
+
 /// What a source gives.
 enum Given {
     Copy { born: f64, from_origin: bool },
@@ -153,13 +165,21 @@
     Broke,
 }
 
+/// A listener at an address of this run's own, which stays free while the host's process is away.
+fn own_listener() -> std::io::Result<(std::net::TcpListener, SocketAddr)> {
+    let address = own_address();
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok((listener, address))
+}
+
 impl Host {
     pub fn new(index: usize, kind: &'static str) -> std::io::Result<Self> {
         Self::bound(index, kind, UNBOUND, Arc::new(Net::new(0)))
     }
 
     pub fn bound(index: usize, kind: &'static str, bounds: Bounds, net: Arc<Net>) -> std::io::Result<Self> {
-        let (listener, address) = listener()?;
+        let (listener, address) = own_listener()?;
         Ok(Self {
             index,
             name: format!("{kind}-{index}"),
@@ -175,6 +195,8 @@
             slow: AtomicU32::new(100),
             down_until: Mutex::default(),
             began: Mutex::default(),
+            stalled_until: Mutex::default(),
+            process: watch::Sender::new(Process::default()),
             listeners: Mutex::new(vec![(Party::Front, listener)]),
             store: Mutex::default(),
             steps: Mutex::new((Instant::now(), Vec::new())),
@@ -200,7 +222,7 @@
 
     /// An address of its own for each who asks, so that a link is known by where it ends.
     pub fn listen_for(&self, who: Party) -> std::io::Result<SocketAddr> {
-        let (listener, address) = listener()?;
+        let (listener, address) = own_listener()?;
         self.listeners.lock().expect("no holder panics").push((who, listener));
         Ok(address)
     }
@@ -216,6 +238,30 @@
         *self.began.lock().expect("no holder panics") = Some(Instant::now());
     }
 
+    /// Its process dies: connections end, dials are refused. A new one with nothing in it is there after `away`.
+    pub fn crash(&self, away: Duration) {
+        self.restart();
+        *self.began.lock().expect("no holder panics") = Some(Instant::now() + away);
+        self.since_ms.store((unix_ms() + away.as_secs_f64() * 1e3) as u64, Ordering::Relaxed);
+        self.process.send_modify(|process| *process = Process { number: process.number + 1, away });
+    }
+
+    /// It reads nothing for a while, and then all that has come.
+    pub fn stall(&self, long: Duration) {
+        *self.stalled_until.lock().expect("no holder panics") = Some(Instant::now() + long);
+    }
+
+    /// Waits until it reads again.
+    async fn stalled(&self) {
+        loop {
+            let until = *self.stalled_until.lock().expect("no holder panics");
+            match until.filter(|until| Instant::now() < *until) {
+                Some(until) => tokio::time::sleep_until(until.into()).await,
+                None => return,
+            }
+        }
+    }
+
     /// All that it held is lost, and nobody is told.
     pub fn empty(&self) {
         *self.store.lock().expect("no holder panics") = Store::default();
@@ -308,19 +354,46 @@
         for (who, listener) in listeners {
             let listener = TcpListener::from_std(listener)?;
             let (host, ledger) = (Arc::clone(&self), Arc::clone(&ledger));
-            all.spawn(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let _ = stream.set_nodelay(true);
-                    if host.is_down() {
-                        continue;
+            all.spawn(async move { host.listen(who, listener, &ledger).await });
+        }
+        all.join_all().await;
+        Ok(())
+    }
+
+    /// Takes connections, by one process after another at the same address.
+    async fn listen(self: &Arc<Self>, who: Party, mut listener: TcpListener, ledger: &Arc<Ledger>) {
+        let mut process = self.process.subscribe();
+        let Ok(address) = listener.local_addr() else { return };
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                changed = process.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let away = process.borrow_and_update().away;
+                    drop(listener);
+                    tokio::time::sleep(away).await;
+                    match TcpListener::bind(address).await {
+                        Ok(anew) => listener = anew,
+                        Err(e) => return ledger.broken(format!("{address} can't be listened at again: {e}")),
                     }
-                    let (host, ledger) = (Arc::clone(&host), Arc::clone(&ledger));
-                    tokio::spawn(async move { host.connection(who, stream, &ledger).await });
+                    continue;
+                }
+            };
+            let Ok((stream, _)) = accepted else { return };
+            let _ = stream.set_nodelay(true);
+            if self.is_down() {
+                continue;
+            }
+            let (host, ledger, mut process) = (Arc::clone(self), Arc::clone(ledger), process.clone());
+            tokio::spawn(async move {
+                tokio::select! {
+                    _ = host.connection(who, stream, &ledger) => {}
+                    _ = process.changed() => {}
                 }
             });
         }
-        all.join_all().await;
-        Ok(())
     }
 
     /// One connection: what comes is worked on at once beside what came before, and answered as it is done.
@@ -336,7 +409,9 @@
         // None: the connection ends here.
         let (answers, mut answered) = mpsc::unbounded_channel::<Option<Vec<u8>>>();
         let host = Arc::clone(&self);
-        let mut writes = tokio::spawn(async move {
+        // In a set, so that it ends with its connection.
+        let mut writes = tokio::task::JoinSet::new();
+        writes.spawn(async move {
             while let Some(Some(answer)) = answered.recv().await {
                 let passed = host.net.pass(here, who).await;
                 let whole = if passed == Passed::Reset { answer.len() / 2 } else { answer.len() };
@@ -349,10 +424,11 @@
             }
         });
         loop {
+            self.stalled().await;
             let read = read_words(&mut from, |first| ledger_first(&self, ledger, first));
             let got = tokio::select! {
                 got = read => got?,
-                _ = &mut writes => return Ok(()),
+                _ = writes.join_next() => return Ok(()),
             };
             let Some(got) = got else { return Ok(()) };
             if got.first().is_some_and(|verb| verb == b"serve") {
--- a/crates/lab/src/stand/ledger.rs
+++ b/crates/lab/src/stand/ledger.rs
@@ -34,6 +34,12 @@
     told_to: BTreeMap<Party, Instant>,
 }
 
+/// The start of a host, as it was put into the change log.
+struct Start {
+    put: Instant,
+    told_to: BTreeMap<Party, Instant>,
+}
+
 struct Drain {
     told: Option<Instant>,
     /// When each proxy that was connected then had taken it.
@@ -44,6 +50,7 @@
 struct Books {
     purges: Vec<Purge>,
     drains: BTreeMap<usize, Drain>,
+    starts: Vec<Start>,
     effects: HashMap<String, u32>,
     breaks: Vec<String>,
     broken: u64,
@@ -155,6 +162,29 @@
         });
     }
 
+    /// A host's start is put into the change log; the number by which it is told.
+    pub fn start_put(&self) -> usize {
+        self.with(|books| {
+            books.starts.push(Start { put: Instant::now(), told_to: BTreeMap::new() });
+            books.starts.len() - 1
+        })
+    }
+
+    pub fn start_told(&self, start: usize, who: Party) {
+        self.with(|books| {
+            books.starts[start].told_to.entry(who).or_insert_with(Instant::now);
+        });
+    }
+
+    /// When a dispatcher counts as told of a start: as it was, or a while after it was put into the change log.
+    pub fn start_told_at(&self, start: usize, who: Party) -> Instant {
+        self.with(|books| {
+            let start = &books.starts[start];
+            let latest = start.put + TOLD_AFTER;
+            start.told_to.get(&who).map_or(latest, |&told| told.min(latest))
+        })
+    }
+
     pub fn purge_took_effect(&self, purge: usize, since: Instant) {
         self.with(|books| {
             let told = books.purges[purge].told.filter(|told| since <= *told);
--- a/crates/lab/src/stand/mod.rs
+++ b/crates/lab/src/stand/mod.rs
@@ -4,6 +4,8 @@
 pub mod asker;
 pub mod between;
 pub mod changelog;
+pub mod fault_layout;
+pub mod fault_page;
 pub mod hosts;
 pub mod ledger;
 pub mod link;
--- a/crates/lab/src/stand/process.rs
+++ b/crates/lab/src/stand/process.rs
@@ -2,6 +2,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use std::ffi::OsString;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -36,6 +37,8 @@
     lives: u32,
     seed: u64,
     config: Config,
+    /// What each of its lives has in its environment beside what this process has.
+    environment: Vec<(&'static str, OsString)>,
 }
 
 /// How a dispatcher is told what it is: by the platform's file, or by an operator's.
@@ -52,7 +55,13 @@
     pub seed: u64,
 }
 
-fn spawn(file: &Path, log: &Path, verbose: bool, operator: bool) -> Result<Child, String> {
+fn spawn(
+    file: &Path,
+    log: &Path,
+    verbose: bool,
+    operator: bool,
+    environment: &[(&'static str, OsString)],
+) -> Result<Child, String> {
     let appended = || File::options().create(true).append(true).open(log);
     let errors = if verbose {
         Stdio::inherit()
@@ -69,6 +78,7 @@
         }
     };
     program.env(PARENT, std::process::id().to_string());
+    program.envs(environment.iter().map(|(name, value)| (name, value)));
     let child = program.env("ROUTER_CONFIG", file).env("RUST_LOG", "info").stderr(errors).spawn();
     child.map_err(|e| format!("the dispatcher does not start: {e}"))
 }
@@ -132,25 +142,42 @@
     }
 
     pub fn start_as(settings: &Value, told: Told, verbose: bool) -> Result<Self, String> {
+        Self::start_in(settings, told, verbose, Vec::new())
+    }
+
+    /// One that is told by the platform's file, with more in its environment.
+    pub fn start_in(
+        settings: &Value,
+        told: Told,
+        verbose: bool,
+        environment: Vec<(&'static str, OsString)>,
+    ) -> Result<Self, String> {
         let address = own_address();
         let config = json!({"name": told.name, "listen": address.to_string(), "seed": format!("{:x}", told.seed),
             "changelog": told.changelog.to_string(), "limits": {"memory_mb": 192, "sockets": 1024},
             "known": told.known, "settings": settings});
-        Self::start_by(address, Config::Platform(config), told.seed, verbose)
+        Self::start_by(address, Config::Platform(config), told.seed, verbose, environment)
     }
 
     /// One that an operator file tells, made of the address that it listens at.
     pub fn start_following(text: impl Fn(SocketAddr) -> String, verbose: bool) -> Result<Self, String> {
         let address = own_address();
-        Self::start_by(address, Config::Operator(text(address)), 0, verbose)
+        Self::start_by(address, Config::Operator(text(address)), 0, verbose, Vec::new())
     }
 
-    fn start_by(address: SocketAddr, config: Config, seed: u64, verbose: bool) -> Result<Self, String> {
+    fn start_by(
+        address: SocketAddr,
+        config: Config,
+        seed: u64,
+        verbose: bool,
+        environment: Vec<(&'static str, OsString)>,
+    ) -> Result<Self, String> {
         let number = FILES.fetch_add(1, Ordering::Relaxed);
         let stem = format!("myrtlegauge-lab-{}-{number}", std::process::id());
         let file = std::env::temp_dir().join(format!("{stem}.json"));
         let log = std::env::temp_dir().join(format!("{stem}.log"));
-        let mut started = Self { address, file, log, child: None, verbose, lives: 0, seed, config };
+        let mut started =
+            Self { address, file, log, child: None, verbose, lives: 0, seed, config, environment };
         started.begin(None)?;
         Ok(started)
     }
@@ -166,8 +193,8 @@
             config["seed"] = json!(format!("{:x}", self.seed.wrapping_add(u64::from(self.lives) << 32)));
         }
         self.write()?;
-        self.child =
-            Some(spawn(&self.file, &self.log, self.verbose, matches!(self.config, Config::Operator(_)))?);
+        let operator = matches!(self.config, Config::Operator(_));
+        self.child = Some(spawn(&self.file, &self.log, self.verbose, operator, &self.environment)?);
         Ok(())
     }
 
