--- a/crates/benchlink/src/read.rs
+++ b/crates/benchlink/src/read.rs
@@ -1,6 +1,6 @@
 //! Messages of the wire as they are read.
 
-use myrtlegauge::interface::{End, Entry, Load, Note, Standing, Values, mark, span};
+use myrtlegauge::interface::{End, Entry, Load, Note, Standing, Start, Values, mark, span};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
@@ -131,7 +131,7 @@
             host,
             mark: mark(&self.host),
             standing,
-            started: span(self.since_ms),
+            start: Start::At(span(self.since_ms)),
             zone: self.failure_domain,
             cell: self.stripe,
             kind: self.generation_hw,
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -206,7 +206,7 @@
                     None => self.hosts.push(known),
                 }
             }
-            let (entry, fault) = self.places.entry(&self.hosts[index].entry, line, &self.clock);
+            let (entry, fault) = self.places.entry(&self.hosts[index].entry, line, &self.clock, now);
             if let Some(what) = fault {
                 self.faults += 1;
                 log::warn!(host = &*line.name; "a host's line has {what}: taken as gone");
@@ -223,7 +223,7 @@
                 self.by_address.remove(&left);
             }
             host.address = address.or(host.address);
-            let (began, was) = (self.clock.unix_ms(entry.started), host.entry.standing);
+            let (began, was) = (entry.start.stamp(), host.entry.standing);
             let again = !new && was != Standing::On && entry.standing == Standing::On && began <= host.life;
             host.life = if again { self.clock.unix_ms(now) } else { began.max(host.life) };
             host.entry = entry;
@@ -282,8 +282,7 @@
             let oldest = self.purges.iter().min_by_key(|(_, at)| **at).map(|(named, _)| *named);
             oldest.map(|named| self.purges.remove(&named));
         }
-        let age = now.saturating_sub(self.clock.span(purge.unix_ms));
-        self.told(now, |round| round.purged(named, age));
+        self.told(now, |round| round.purged(named, Duration::ZERO));
     }
 
     /// What proxies saw in an interval.
--- a/crates/dispatcher/src/program/start.rs
+++ b/crates/dispatcher/src/program/start.rs
@@ -1,6 +1,6 @@
 //! What the program is told at its start, and what of it may change later.
 
-use crate::routing::{Room, Startup};
+use crate::routing::{Guards, Room, Startup};
 use myrtlegauge::interface::Values;
 use myrtlegauge_wire::protocol::changelog::Changes;
 use serde::Deserialize;
@@ -69,6 +69,7 @@
             known,
             facts: &self.settings,
             seed: seed.map_err(|_| format!("{FILE}: seed {:?} is not hexadecimal", self.seed))?,
+            guards: Guards::ALL,
             zones: None,
             member: None,
             replicas: None,
--- a/crates/dispatcher/src/routing/answers.rs
+++ b/crates/dispatcher/src/routing/answers.rs
@@ -32,6 +32,15 @@
         let closing = self.lifecycle.state() == State::Closing;
         let Self { clients, accounts, now, counters, dirty, .. } = self;
         let Some(client) = clients.get_mut(key) else { return false };
+        if client.reads_no_further {
+            client.connection.parse(|inbound| inbound.clear());
+            if client.ended {
+                self.drop_client(key);
+            } else if client.quiet() {
+                self.close_client(key);
+            }
+            return false;
+        }
         match client.next(&accounts.requests, *now) {
             Ok(Some(Message::Request(request))) => {
                 let Request { number, keep_conn, long, .. } = request;
@@ -230,6 +239,7 @@
     /// Takes a client out, with all that it waited for.
     fn remove_client(&mut self, key: Key) -> Client {
         let client = self.clients.remove(key);
+        self.check_closed(client.ended, client.open.len());
         self.accounts.requests.take(client.reader.long());
         for &(number, owed) in &client.open {
             self.call_off(key, number, owed);
@@ -242,8 +252,11 @@
         self.remove_client(key);
     }
 
-    /// Closes a client's connection in steps.
+    /// Closes a client's connection in steps, at once or when it has the answers that it is owed.
     pub fn close_client(&mut self, key: Key) {
+        if !self.may_close(key) {
+            return;
+        }
         let client = self.remove_client(key);
         self.closing.begin(Who::Client(key), client.connection, &mut self.shared, self.now);
     }
--- a/crates/dispatcher/src/routing/clients.rs
+++ b/crates/dispatcher/src/routing/clients.rs
@@ -16,6 +16,8 @@
     pub open: Vec<(u16, Owed)>,
     /// To be closed once nothing is open and all is written.
     pub last: bool,
+    /// Nothing more is read: what came can't be used.
+    pub reads_no_further: bool,
     /// The other side has closed or broken it: its client waits for nothing.
     pub ended: bool,
     /// A whole request has come.
@@ -46,6 +48,7 @@
             reader: Reader::default(),
             open: Vec::new(),
             last: false,
+            reads_no_further: false,
             ended: false,
             asked: false,
             since: now,
--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -1,5 +1,6 @@
 //! What was taken in, sent and answered, by kind.
 
+use super::guards::Rule;
 use myrtlegauge::interface::{End, Note};
 use std::fmt;
 
@@ -53,6 +54,10 @@
     /// Messages that could not be read, and answers that no GET waited for.
     pub faults: u64,
     pub strays: u64,
+    /// Forwards that the guard kept back at the last moment.
+    pub not_sent: u64,
+    /// What was done against each rule.
+    pub violations: [u64; Rule::ALL.len()],
     /// What must hold and did not.
     pub broken: u64,
     pub rounds: u64,
@@ -94,6 +99,20 @@
         self.notes[note as usize] += 1;
     }
 
+    /// Counts what was done against a rule, and tells of it by its ids.
+    pub fn violated(&mut self, rule: Rule, what: fmt::Arguments<'_>) {
+        let count = &mut self.violations[rule as usize];
+        *count += 1;
+        if *count <= TELLS {
+            log::error!(rule = rule.name(); "broken: {what}");
+        }
+    }
+
+    /// Takes over a count that is kept elsewhere.
+    pub fn violations_were(&mut self, rule: Rule, count: u64) {
+        self.violations[rule as usize] = count;
+    }
+
     /// Checks what must hold: asserted in debug builds, counted in release builds.
     pub fn must(&mut self, holds: bool, what: &str) {
         debug_assert!(holds, "{what}");
@@ -140,6 +159,10 @@
         for (name, n) in NOTE_NAMES.iter().zip(self.notes) {
             write!(f, " {name} {n}")?;
         }
+        write!(f, "\nrules: not sent {}, violations of", self.not_sent)?;
+        for rule in Rule::ALL {
+            write!(f, " {} {}", rule.name(), self.violations[rule as usize])?;
+        }
         write!(
             f,
             "\nconnections: clients {} mute {}; hosts {} failed {} late {} broken {} idle {} stuck {}\n\
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -6,6 +6,7 @@
 use super::in_flight::Out;
 use super::proxy::{Due, Proxy};
 use super::{Key, Who};
+use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::{Dispatch, End, Forward, HostIndex, Load, Note, Outcome, Place, span};
 use myrtlegauge_wire::protocol::{Fault, resp};
 use myrtlegauge_wire::transport::Connection;
@@ -73,6 +74,10 @@
     }
 
     fn shed(&mut self, place: Place, retry_after: Option<Duration>) {
+        if !self.may_reject(place) {
+            return self.error(place);
+        }
+        self.check_rejected(place);
         let paid = self.pay(place, &Answer::Shed(retry_after));
         self.counters.must(paid, "one answer for each GET");
     }
@@ -131,6 +136,9 @@
         // What is amiss on this side is not held against the host.
         let here =
             |e: io::Error| !matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::HostUnreachable);
+        if opening.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused) {
+            self.lost_link(host, EndEvidence::DialRefused);
+        }
         let connection = opening.map_err(|e| if here(e) { End::NeverSent } else { End::NoConnection })?;
         self.counters.links += 1;
         let now = self.now;
@@ -155,6 +163,10 @@
 
     /// Writes a forward as its host reads it; what the client sent goes on as it came.
     fn write_forward(&mut self, key: Key, place: Place) {
+        if !self.may_write(key, place) {
+            return;
+        }
+        self.check_written(place);
         let Self { in_flight, hosts, links, codec, pen, text, now, startup, doubted, .. } = self;
         let pending = in_flight.at(place);
         let Some(out) = &mut pending.out else { return };
@@ -203,16 +215,20 @@
             self.came_up.push(link.host);
         }
         (link.up, link.since, link.heard_at, link.used_at) = (true, now, now, now);
-        for i in 0..link.out.len() {
-            let place = self.links[key].out[i];
+        self.connected.push(link.host);
+        for place in self.links[key].out.clone() {
             self.write_forward(key, place);
         }
     }
 
     /// A connection that will not come up: nothing that waited for it ever ran.
-    pub fn link_failed(&mut self, key: Key) {
+    pub fn link_failed(&mut self, key: Key, why: ErrorKind) {
         self.counters.links_failed += 1;
+        let host = self.links[key].host;
         self.end_link(key, End::NoConnection);
+        if why == ErrorKind::ConnectionRefused {
+            self.lost_link(host, EndEvidence::DialRefused);
+        }
     }
 
     /// A connection that has not come up in time: nothing that waited for it ever ran, and goes elsewhere. It may still
@@ -343,7 +359,9 @@
                     let part = link.connection.unread() > 0;
                     if link.ended {
                         self.counters.links_broken += 1;
+                        let host = link.host;
                         self.end_link(key, if part { End::Spoilt } else { End::Reset });
+                        self.lost_link(host, EndEvidence::ConnectionsEnded);
                     } else if part && link.part_since.is_none() {
                         link.part_since = Some(self.now);
                     }
@@ -451,6 +469,7 @@
         }
         let pending = self.in_flight.at(place);
         pending.last = Some((out.to.host, end, note));
+        pending.may_have_run |= !end.proven() && end != End::Returned;
         let closed = pending.owed.is_none();
         Outcome { hop: out.hop, end, spent, closed, note, source_wait, load }
     }
--- a/crates/dispatcher/src/routing/hosts.rs
+++ b/crates/dispatcher/src/routing/hosts.rs
@@ -14,6 +14,8 @@
     pub address: Option<SocketAddr>,
     /// Since when it is gone; nothing is sent there any more.
     pub gone_at: Option<Duration>,
+    /// When all connections to it had ended at its end, or a dial was refused, for the last time.
+    pub process_ended_at: Option<Duration>,
     pub links: Vec<Key>,
 }
 
--- a/crates/dispatcher/src/routing/in_flight.rs
+++ b/crates/dispatcher/src/routing/in_flight.rs
@@ -17,6 +17,8 @@
     pub until: Duration,
     pub hops: u32,
     pub out: Option<Out>,
+    /// An earlier forward of it is not proven not to have run.
+    pub may_have_run: bool,
     /// Connections on which an earlier forward of it was answered: what else comes there under its id is of that one.
     pub answered_on: Vec<Key>,
     /// Where the last forward that ended went, how it ended, and the note its answer carried: for the log.
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod counters;
 mod forwards;
+mod guards;
 mod hosts;
 mod in_flight;
 mod keyed;
@@ -17,6 +18,8 @@
 
 use bytes::Bytes;
 use codec::Codec;
+use guards::Effect;
+pub use guards::{Guards, Rule};
 pub use keyed::Key;
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListKind, Purged, Values};
@@ -56,6 +59,8 @@
     pub facts: &'a Values,
     pub seed: u64,
     pub room: Room,
+    /// All but in tests.
+    pub guards: Guards,
     /// The services to follow on zones; none in `run`.
     pub zones: Option<ZonePort>,
     /// This dispatcher as a member of its fleet; none in `run`.
@@ -80,7 +85,13 @@
 
 impl Dispatcher {
     pub fn start(hub: Hub<Self>, mut startup: Startup<'_>) -> Result<Self, String> {
-        let router = Router::new(startup.facts, startup.seed)?;
+        let mut router = Router::new(startup.facts, startup.seed)?;
+        if !startup.guards.starting {
+            router.leave_slow_start_unlimited();
+        }
+        if !startup.guards.repeating {
+            router.leave_repeats_unguarded();
+        }
         let accounts = Rc::new(Accounts::default());
         let listener = Listener::open(&hub, startup.listen, Who::Listener, &accounts)
             .map_err(|e| format!("can't listen on {}: {e}", startup.listen))?;
@@ -93,6 +104,7 @@
         let port = startup.zones.take();
         let (news, member_hub) = (hub.clone(), hub.clone());
         let mut proxy = Proxy::new(hub, listener, accounts, feed, names, startup.room, Clock::start());
+        (proxy.guards, proxy.effects) = (startup.guards, Effect::read_all(startup.facts));
         if let Some(ZonePort { news: heard, report, every }) = port {
             let into = news.insert_source(heard, |event, (), dispatcher: &mut Self| {
                 if let calloop::channel::Event::Msg(news) = event {
@@ -115,6 +127,8 @@
         let now = started.proxy.now;
         started.router.round(now, &mut started.proxy, |round| {
             let last = startup.known.last;
+            let known = round.writer().list_known;
+            round.list_known(known);
             tell_changes(round, startup.known, ListKind::Kept);
             // A start is told all there was; what it leaves out is of no use any more.
             round.writer().told_up_to(last);
@@ -178,12 +192,15 @@
                 while let Some(place) = round.writer().next_abandoned() {
                     round.abandoned(place);
                 }
+                tell_processes(round);
                 while let Some(host) = round.writer().came_up.pop() {
                     round.reported(host, true);
                 }
                 while let Some((place, outcome)) = round.writer().next_answered() {
+                    tell_processes(round);
                     round.outcome(place, &outcome);
                 }
+                tell_processes(round);
                 while let Some((place, outcome)) = round.writer().next_ended() {
                     round.outcome(place, &outcome);
                 }
@@ -203,7 +220,9 @@
                 }
             });
             proxy.write();
+            let violations = router.slow_start_violations();
             let counters = &mut proxy.counters;
+            counters.violations_were(Rule::Starting, violations);
             counters.rounds += 1;
             counters.round_longest_us = counters.round_longest_us.max(began.elapsed().as_micros() as u64);
             proxy.now = proxy.clock.now();
@@ -249,6 +268,11 @@
         self.proxy.counters.taken
     }
 
+    /// What was done against a rule so far: zero, unless a guard is missing.
+    pub fn violations(&self, rule: Rule) -> u64 {
+        self.proxy.counters.violations[rule as usize]
+    }
+
     /// Bytes in all buffers.
     pub fn buffered(&self) -> usize {
         self.proxy.accounts.buffered.level()
@@ -291,8 +315,25 @@
     }
 }
 
+/// What connections tell of hosts' processes, before anything is decided by it. An end and a connection that came up after it
+/// are told in this order: what is up in a turn was dialled before that turn.
+fn tell_processes(round: &mut Round<'_, Proxy>) {
+    let known = round.writer().list_known;
+    round.list_known(known);
+    while let Some((host, at, evidence)) = round.writer().processes_ended.pop() {
+        round.process_ended(host, at, evidence);
+    }
+    while let Some(host) = round.writer().connected.pop() {
+        round.connected(host);
+    }
+}
+
 /// Each numbered event once, in order; `whole` is what a whole list counts as.
 fn tell_changes(round: &mut Round<'_, Proxy>, changes: changelog::Changes<'_>, whole: ListKind) {
+    let now = round.writer().now;
+    changes.stamps().for_each(|stamp| round.writer().clock.heard(stamp, now));
+    let offset = round.writer().clock.unix_offset();
+    round.unix_offset(offset);
     for change in &changes.results {
         match round.writer().is_next(change.number) {
             Some(true) => {}
@@ -305,14 +346,14 @@
         }
         if let Some(purge) = &change.invalidate {
             let object = purge.object.as_deref().and_then(|id| codec::hex(id.as_bytes()));
-            tell_purge(round, object.map(Purged::Object).or(purge.bucket.map(Purged::Group)), purge.unix_ms);
+            tell_purge(round, object.map(Purged::Object).or(purge.bucket.map(Purged::Group)));
         }
     }
 }
 
-fn tell_purge(round: &mut Round<'_, Proxy>, named: Option<Purged>, unix_ms: f64) {
-    if let Some((named, age)) = round.writer().purged(named, unix_ms) {
-        round.purged(named, age);
+fn tell_purge(round: &mut Round<'_, Proxy>, named: Option<Purged>) {
+    if let Some(named) = round.writer().purged(named) {
+        round.purged(named, Duration::ZERO);
     }
 }
 
@@ -338,11 +379,11 @@
     round.listed(ListKind::Changes, &entries);
 }
 
-fn tell_purge_record(round: &mut Round<'_, Proxy>, Purge { target, unix_ms }: &Purge) {
+fn tell_purge_record(round: &mut Round<'_, Proxy>, Purge { target, .. }: &Purge) {
     round.writer().counters.changes += 1;
     let named = match target {
         PurgeTarget::Object(object) => codec::hex(object.as_bytes()).map(Purged::Object),
         PurgeTarget::Group(group) => Some(Purged::Group(*group)),
     };
-    tell_purge(round, named, *unix_ms as f64);
+    tell_purge(round, named);
 }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -5,6 +5,7 @@
 use super::proxy::Proxy;
 use super::replicas::{Change, Doubt};
 use bytes::Bytes;
+use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
 use myrtlegauge_wire::feed::Step;
 use myrtlegauge_wire::protocol::Fault;
@@ -105,6 +106,7 @@
 
     /// An answer was taken; `before` was the last event until then.
     pub fn polled(&mut self, before: u64) {
+        self.list_known = self.feed.asked_at();
         if self.doubted.is_none_or(|woke| self.feed.asked_at() >= woke) {
             self.doubted = None;
             if self.startup.log_synced(self.now) {
@@ -129,6 +131,7 @@
                 self.doubted = Some(now);
                 self.feed.hurry(now);
             }
+            self.doubt_processes(before);
             self.counters.gaps += 1;
             if let Some(zones) = &mut self.zones {
                 zones.woke(now);
@@ -137,6 +140,34 @@
         }
     }
 
+    /// Whatever ended since `before` was not seen to: a host without a connection may have another process by now.
+    fn doubt_processes(&mut self, before: Duration) {
+        for index in 0..self.hosts.len() {
+            if !self.hosts[index].name.is_empty() && !self.has_live_link(index) {
+                self.process_ended(index, before, EndEvidence::Unseen);
+            }
+        }
+    }
+
+    /// Whether a connection to a host is up, so that its process is the one that it was.
+    fn has_live_link(&self, host: HostIndex) -> bool {
+        self.hosts[host].links.iter().any(|&key| self.links[key].up && !self.links[key].ended)
+    }
+
+    /// A connection has ended at its other end, or a dial was refused. Where no other is up, the process may be gone.
+    pub fn lost_link(&mut self, host: HostIndex, evidence: EndEvidence) {
+        let is_unseen = evidence == EndEvidence::ConnectionsEnded && self.doubted.is_some();
+        let evidence = if is_unseen { EndEvidence::Unseen } else { evidence };
+        if !self.has_live_link(host) {
+            self.process_ended(host, self.now, evidence);
+        }
+    }
+
+    fn process_ended(&mut self, host: HostIndex, at: Duration, evidence: EndEvidence) {
+        self.hosts[host].process_ended_at = Some(at);
+        self.processes_ended.push((host, at, evidence));
+    }
+
     /// Whether an event has not been taken yet; none if others should have come before it.
     pub fn is_next(&mut self, number: u64) -> Option<bool> {
         let step = self.feed.step(number, self.now);
@@ -156,7 +187,8 @@
         self.feed.last = self.feed.last.max(last);
     }
 
-    pub fn purged(&mut self, named: Option<Purged>, unix_ms: f64) -> Option<(Purged, Duration)> {
+    /// What a purge names. It counts from now on, when it is heard of: its time is another machine's claim, and late is safe.
+    pub fn purged(&mut self, named: Option<Purged>) -> Option<Purged> {
         if named.is_none() {
             self.fault(format_args!("a purge names neither an object nor a group"));
         }
@@ -166,7 +198,7 @@
             Purged::Object(object) => pending.get.object == object,
             Purged::Group(group) => pending.get.group == group,
         });
-        Some((named, self.now.saturating_sub(self.clock.span(unix_ms))))
+        Some(named)
     }
 
     /// The list's lines as entries; a host that started anew gets new connections. Whom a whole list leaves out is
@@ -187,6 +219,7 @@
                     entry: Entry { host: index, units: 1.0, ..Entry::default() },
                     address: None,
                     gone_at: None,
+                    process_ended_at: None,
                     links: Vec::new(),
                 };
                 match self.hosts.get_mut(index) {
@@ -195,7 +228,7 @@
                 }
             }
             let Host { entry: known, address, .. } = &self.hosts[index];
-            let (entry, fault) = self.places.entry(known, line, &self.clock);
+            let (entry, fault) = self.places.entry(known, line, &self.clock, self.now);
             let address = line.address.parse().ok().or(*address);
             if let Some(what) = fault {
                 self.fault(format_args!("host {} has {what}: taken as gone", line.name));
@@ -214,8 +247,9 @@
     fn stands(&mut self, index: HostIndex, entry: Entry, address: Option<SocketAddr>) {
         let gone = entry.standing == Standing::Gone;
         let host = &mut self.hosts[index];
+        let has_started = has_another_start(&host.entry, &entry);
         (host.entry, host.gone_at) = (entry, host.gone_at.or(Some(self.now)).filter(|_| gone));
-        self.new_life(index, address);
+        self.new_life(index, address, has_started);
         if entry.standing != Standing::On {
             self.decide_anew(|_, out| out.to.host == index || out.to.source == index);
         }
@@ -236,7 +270,10 @@
     }
 
     /// Ends connections of a process that is no more: this host's earlier one, or another's at the same address.
-    fn new_life(&mut self, index: HostIndex, address: Option<SocketAddr>) {
+    ///
+    /// After a start that is heard of, connections go on that came up after its process was seen to end: they are to the new one.
+    fn new_life(&mut self, index: HostIndex, address: Option<SocketAddr>, has_started: bool) {
+        let ended = self.hosts[index].process_ended_at;
         let moved = std::mem::replace(&mut self.hosts[index].address, address) != address;
         let entry = self.hosts[index].entry;
         for host in 0..self.hosts.len() {
@@ -246,7 +283,7 @@
             }
             for key in self.hosts[host].links.clone() {
                 let link = &mut self.links[key];
-                if !own || moved || link.up && link.since < entry.started {
+                if !own || moved || has_started && link.up && ended.is_none_or(|ended| link.since < ended) {
                     self.end_link(key, End::Reset);
                 } else if entry.standing == Standing::Gone {
                     link.retired = true;
@@ -259,6 +296,9 @@
     /// it never ran and is decided again. Guards drains and purges, whose graces may be shorter than a connection takes or
     /// a host hangs. It hurts by one forward of a GET.
     pub fn decide_anew(&mut self, concerned: impl Fn(&Pending, &Out) -> bool) {
+        if !self.guards.sending {
+            return;
+        }
         for (_, link) in self.links.iter_mut() {
             let (in_flight, ended, connection) = (&mut self.in_flight, &mut self.ended, &mut link.connection);
             link.out.retain(|&place| {
@@ -275,3 +315,8 @@
         }
     }
 }
+
+/// Whether a line of a host tells of another start than the one that is known.
+fn has_another_start(known: &Entry, told: &Entry) -> bool {
+    told.start.stamp() != 0 && told.start.stamp() != known.start.stamp()
+}
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -3,6 +3,7 @@
 use super::clients::Client;
 use super::codec::{self, Codec};
 use super::counters::Counters;
+use super::guards::{Effect, Guards};
 use super::hosts::{Host, Link};
 use super::in_flight::InFlight;
 use super::keyed::Keyed;
@@ -11,6 +12,7 @@
 use super::zones::{ZoneNews, Zones};
 use super::{Dispatcher, Key, Who};
 use bytes::BytesMut;
+use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::{End, Get, HostIndex, Note, Place, Values, span};
 use myrtlegauge::values::{self, flag, number};
 use myrtlegauge_recovery::{LossCause, StartupTimeline};
@@ -128,6 +130,14 @@
     pub asked: VecDeque<Asked>,
     /// Hosts whose connections came up after they had been told not to.
     pub came_up: Vec<HostIndex>,
+    pub guards: Guards,
+    /// Whether requests may run more than once, by class.
+    pub effects: Vec<Effect>,
+    /// Hosts whose processes may have ended, and when; and hosts to which a connection has come up since.
+    pub processes_ended: Vec<(HostIndex, Duration, EndEvidence)>,
+    pub connected: Vec<HostIndex>,
+    /// The list of hosts is known up to then.
+    pub list_known: Duration,
     pub closing: Closing<Dispatcher>,
     pub lifecycle: Lifecycle,
     pub dues: BinaryHeap<Reverse<(Duration, Due)>>,
@@ -264,6 +274,11 @@
             abandoned: VecDeque::new(),
             asked: VecDeque::new(),
             came_up: Vec::new(),
+            guards: Guards::ALL,
+            effects: Vec::new(),
+            processes_ended: Vec::new(),
+            connected: Vec::new(),
+            list_known: clock.now(),
             closing: Closing::new(part(CLOSING_PART)),
             lifecycle: Lifecycle::new(),
             dues: BinaryHeap::new(),
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -72,7 +72,7 @@
             match link.connection.is_up() {
                 Ok(true) => self.link_up(key),
                 Ok(false) => return false,
-                Err(_) => self.link_failed(key),
+                Err(e) => self.link_failed(key, e.kind()),
             }
             return true;
         }
@@ -266,7 +266,11 @@
                 deaf.push(key);
             }
         }
-        deaf.into_iter().for_each(|key| self.drop_client(key));
+        for key in deaf {
+            // By now it waits for nothing.
+            self.clients[key].ended = true;
+            self.drop_client(key);
+        }
         self.end_stuck_links();
         self.ended.is_empty()
     }
@@ -298,7 +302,7 @@
                 self.refuse(key, number);
             }
             let client = &mut self.clients[key];
-            if stuck(client) {
+            if stuck(client) && !client.reads_no_further {
                 self.counters.mute += 1;
                 self.close_client(key);
             }
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod stream;
 
 use myrtlegauge_dispatcher::program;
-use myrtlegauge_dispatcher::routing::{ReplicasStartup, Room, Startup, SubscriberDefences, ZonePort};
+use myrtlegauge_dispatcher::routing::{Guards, ReplicasStartup, Room, Startup, SubscriberDefences, ZonePort};
 use myrtlegauge_membership::driver;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_wire::protocol::changelog::Changes;
@@ -64,6 +64,7 @@
         facts: &file.facts,
         seed: fastrand::u64(..),
         room: Room { descriptors: told.sockets, memory: told.memory_mb << 20 },
+        guards: Guards::ALL,
         zones,
         member,
         replicas,
--- a/crates/model/src/engine/dispatchers.rs
+++ b/crates/model/src/engine/dispatchers.rs
@@ -5,7 +5,7 @@
 use super::{Engine, host_mark};
 use crate::world::Policy;
 use myrtlegauge::decide::{Round, Router};
-use myrtlegauge::interface::{End, Entry, Forward, ListKind, Load, Note, Outcome, Place, Purged};
+use myrtlegauge::interface::{End, Entry, Forward, ListKind, Load, Note, Outcome, Place, Purged, Start};
 use std::time::Duration;
 
 /// Timeout of an attempt without one of its own.
@@ -26,7 +26,7 @@
             host,
             mark: host_mark(host),
             standing,
-            started,
+            start: Start::At(started),
             zone: self.world.zone(host),
             cell: 0,
             kind,
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -9,12 +9,14 @@
 pub mod latency_estimator;
 pub mod retry_budget;
 pub mod slow_start;
+pub mod slow_start_check;
 pub mod staleness_decay;
 pub mod startup_timeline;
 
 pub use fill_limiter::{FillLimiter, FillOutcome};
 pub use latency_estimator::LatencyEstimator;
 pub use retry_budget::RetryBudget;
-pub use slow_start::{SlowStart, WorkShare};
+pub use slow_start::{ColdSince, SlowStart, WorkShare};
+pub use slow_start_check::SlowStartCheck;
 pub use staleness_decay::StalenessDecay;
 pub use startup_timeline::{LossCause, Milestones, StartupTimeline};
--- a/crates/recovery/src/slow_start.rs
+++ b/crates/recovery/src/slow_start.rs
@@ -11,6 +11,14 @@
     pub window: f64,
 }
 
+/// The slow start that a host is in, as one router knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdSince {
+    pub at: Duration,
+    /// It may have begun before this router's own process, whose life before may have sent to the host already.
+    pub is_older_than_router: bool,
+}
+
 /// Leaky bucket of the work sent to a cold host. It drains at the rate of the router's share.
 #[derive(Clone, Debug, Default)]
 pub struct SlowStart {
@@ -22,24 +30,26 @@
 impl SlowStart {
     /// Whether a request of `work` seconds fits into `share` now; if so its work is counted.
     ///
-    /// The bucket starts anew where it was last asked before `cold_since`. `phase`, from 0 to 1, spreads the first requests
-    /// of routers whose share is smaller than one request. The limit protects hosts that start or come back. It does harm
-    /// where the neighbours of the cold host are overloaded.
+    /// A slow start that began after the last request finds the bucket filled in part, by `phase` from 0 to 1, so that routers
+    /// whose share is smaller than one request do not all send their first ones at once. One that may be older than this
+    /// router's process finds it filled as if this router had sent before: it may have, and each restart would send a burst
+    /// anew. The limit protects hosts that start or come back. It does harm where the neighbours of the cold host are
+    /// overloaded.
     pub fn admits(
         &mut self,
         work: f64,
         share: WorkShare,
-        cold_since: Duration,
+        cold_since: ColdSince,
         phase: f64,
         now: Duration,
     ) -> bool {
         let burst = share.rate * share.window;
-        if self.asked_at < cold_since {
-            // A request heavier than the share passes once in a while: each router's first one at a time of its own.
-            self.pending = (work - burst).max(0.0) * phase;
-        } else {
-            let drained = now.saturating_sub(self.asked_at).as_secs_f64() * share.rate;
-            self.pending = (self.pending - drained).max(0.0);
+        let drained = now.saturating_sub(self.asked_at).as_secs_f64() * share.rate;
+        self.pending = (self.pending - drained).max(0.0);
+        if self.asked_at < cold_since.at {
+            let sent_before =
+                if cold_since.is_older_than_router { burst.max(work) } else { (work - burst).max(0.0) };
+            self.pending = self.pending.max(sent_before * phase);
         }
         self.asked_at = now;
         let fits = self.pending + work <= burst.max(work);
--- a/crates/wire/src/places.rs
+++ b/crates/wire/src/places.rs
@@ -3,8 +3,9 @@
 
 use crate::clock::Clock;
 use crate::protocol::changelog::Endpoint;
-use myrtlegauge::interface::{Entry, HostIndex, Standing, Values, mark};
+use myrtlegauge::interface::{Entry, HostIndex, Standing, Start, Values, mark};
 use std::collections::HashMap;
+use std::time::Duration;
 
 pub struct Places {
     zones: Vec<String>,
@@ -52,7 +53,13 @@
 
     /// A line of the list, with what is wrong with it. What it leaves out is as it was known; a host that can't be
     /// placed is taken as gone.
-    pub fn entry(&self, known: &Entry, told: &Endpoint<'_>, clock: &Clock) -> (Entry, Option<&'static str>) {
+    pub fn entry(
+        &self,
+        known: &Entry,
+        told: &Endpoint<'_>,
+        clock: &Clock,
+        now: Duration,
+    ) -> (Entry, Option<&'static str>) {
         let place = |list: &[String], name: &str, known: usize| match name {
             "" => Some(known),
             _ => list.iter().position(|listed| listed == name),
@@ -70,7 +77,7 @@
             host: known.host,
             mark: mark(&told.name),
             standing: standing.ok().filter(|_| fault.is_none()).unwrap_or(Standing::Gone),
-            started: told.since_ms.map_or(known.started, |at| clock.span(at)),
+            start: told.since_ms.map_or(known.start, |at| Start::Claimed(clock.claim(at, now))),
             zone: zone.unwrap_or(known.zone),
             cell: told.group.unwrap_or(known.cell),
             kind: kind.unwrap_or(known.kind),
--- a/crates/wire/src/protocol/changelog.rs
+++ b/crates/wire/src/protocol/changelog.rs
@@ -18,6 +18,16 @@
     pub results: Vec<Change<'a>>,
 }
 
+impl Changes<'_> {
+    /// All times by other machines' wall clocks that these events tell.
+    pub fn stamps(&self) -> impl Iterator<Item = f64> {
+        self.results.iter().flat_map(|change| {
+            let lines = change.fleet.iter().flat_map(|fleet| &fleet.endpoints);
+            lines.filter_map(|line| line.since_ms).chain(change.invalidate.iter().map(|purge| purge.unix_ms))
+        })
+    }
+}
+
 /// One numbered event: a change to the list, a purge, or something that is not known here.
 #[derive(Debug, Deserialize)]
 pub struct Change<'a> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,11 +12,12 @@
 //! 6. keep rank: an object seen again outranks one seen once.
 
 use crate::footprint::{ColdStart, DeliveryService, Footprint, TokenGroup};
+use crate::host_life::{EndEvidence, Heard, Known};
 use crate::interface::*;
 use crate::reading;
 use crate::ring::{Member, Memory, Ring, Window};
 use crate::state::{Crowd, Host, InHand, Learnt, Sent};
-use myrtlegauge_recovery::{FillOutcome, RetryBudget, WorkShare, bits::count_recent, bits::mix};
+use myrtlegauge_recovery::{ColdSince, FillOutcome, RetryBudget, WorkShare, bits::count_recent, bits::mix};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -69,6 +70,8 @@
 const LONG: f64 = 0.5;
 /// share of the latency objective taken for the sending time until some are seen.
 const SENDING_FIRST: f64 = 0.25;
+/// share of the latency objective taken for a request's work at a host in slow start until some are seen: too much is safe.
+const WORK_FIRST: f64 = 0.5;
 /// weight of a new figure in a running mean; some ten outcomes' memory.
 const BLEND: f64 = 0.1;
 /// weight of a probable fill in the part of them that comes to the origin: one in twenty does, in some fifty each shows.
@@ -82,6 +85,15 @@
 /// ms; mean wait told to a client that was shed, scattered by half.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// What a request takes at a cache, s.
+#[derive(Clone, Copy)]
+struct Work {
+    /// By itself.
+    alone: f64,
+    /// Beside what is there usually.
+    crowded: f64,
+}
+
 pub struct Router {
     pub(crate) site: Footprint,
     pub(crate) services: Vec<DeliveryService>,
@@ -96,6 +108,8 @@
     pub(crate) busy: bool,
     /// By object or group, when it was purged.
     purges: BTreeMap<Purged, Duration>,
+    /// What is known of the list and of time.
+    known: Known,
     /// Purges of about then may not have been told here: as if all had been purged.
     doubted: Option<Duration>,
     /// By key, when a copy of it was last returned; zero: only asked for.
@@ -115,6 +129,9 @@
     reaches: f64,
     /// When to ask to follow the list; never where it comes unasked.
     follow_at: Duration,
+    limits_slow_start: bool,
+    guards_repeats: bool,
+    slow_start_violations: u64,
 }
 
 impl Crowd {
@@ -207,6 +224,7 @@
             fills: Window::new(WINDOW),
             busy: false,
             purges: BTreeMap::new(),
+            known: Known::default(),
             doubted: None,
             seen: Memory::new(SEEN),
             sizes: Memory::new(SEEN),
@@ -217,6 +235,9 @@
             waiting: Vec::new(),
             again: RetryBudget::default(),
             reaches: 0.0,
+            limits_slow_start: true,
+            guards_repeats: true,
+            slow_start_violations: 0,
         })
     }
 
@@ -280,31 +301,81 @@
 
     /// Share of its full work that a host which started lately may get; none of a warm one.
     pub(crate) fn warmth(&self, host: HostIndex, now: Duration) -> Option<f64> {
-        let (entry, since) = (&self.hosts[host].entry, self.hosts[host].began());
+        let (entry, began) = (&self.hosts[host].entry, self.hosts[host].began(&self.known, now));
         let start = self.start(entry);
-        let age = now.saturating_sub(since).as_secs_f64() / start.long.as_secs_f64().max(1e-3);
-        let cold = since > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
+        let age = began.age.as_secs_f64() / start.long.as_secs_f64().max(1e-3);
+        let cold = began.at > ZERO && age < 1.0 && entry.kind != self.site.origin_kind;
         let part = if cold { reading::stepped(start.from + (1.0 - start.from) * age) } else { 1.0 };
         Some(part.min(1.0 - entry.held_back)).filter(|&part| part < 1.0)
     }
 
+    /// Work of a request of this service as a host in slow start is asked for it: where nothing is learnt yet, as after a
+    /// restart, a large part of what the objective allows.
+    fn work(&self, get: &Get) -> Work {
+        let (learnt, ds) = (&self.learnt[get.ds], &self.services[get.ds]);
+        match (get.size_kb == 0.0, learnt.parts == 0.0) {
+            (false, _) => Work { alone: learnt.sending, crowded: learnt.sending },
+            (true, true) => Work { alone: ds.objective * WORK_FIRST, crowded: ds.objective * WORK_FIRST },
+            (true, false) => Work { alone: learnt.sending, crowded: learnt.taking.max(learnt.sending) },
+        }
+    }
+
+    /// What this router may send to a host in slow start that takes `warmth` of its full work.
+    fn slow_start_share(&self, host: HostIndex, warmth: f64) -> WorkShare {
+        let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
+        let entry = &self.hosts[host].entry;
+        let room = if self.site.weights { entry.units } else { carried };
+        let start = self.start(entry);
+        let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
+        WorkShare { rate, window: self.site.falls_in }
+    }
+
     /// Cold-start budget, also of a host lost and found again: a fixed part of the keys, the same at every
     /// router, within this router's part of what the host bears.
-    fn admits(&mut self, host: HostIndex, key: u64, work: f64, now: Duration) -> bool {
+    fn admits(&mut self, host: HostIndex, key: u64, work: Work, now: Duration) -> bool {
+        let Some(warmth) = self.warmth(host, now).filter(|_| self.limits_slow_start) else { return true };
+        let share = self.slow_start_share(host, warmth);
+        let (known, phase) = (self.known, self.chance.f64());
+        let (is_near, is_parent) =
+            (self.near(&self.hosts[host].entry), self.parental(&self.hosts[host].entry));
+        let h = &mut self.hosts[host];
+        let takes = is_near && reading::in_part(key, h.entry.mark, warmth);
+        // What it has not answered counts beside what was sent lately: it may read all of that at once.
+        let out = if is_parent { h.fills_out } else { h.crowd.out };
+        let fits = (out + 1.0) * work.crowded <= (share.rate * share.window).max(work.crowded);
+        let began = h.began(&known, now);
+        let cold_since = ColdSince { at: began.at, is_older_than_router: began.is_from_first_list };
+        takes && fits && h.budget.admits(work.alone, share, cold_since, phase, now)
+    }
+
+    /// The check of the slow start, on what is really sent to a host or, for a fill, asked of a parent.
+    fn check_slow_start(&mut self, host: HostIndex, work: f64, now: Duration) -> bool {
         let Some(warmth) = self.warmth(host, now) else { return true };
-        let carried = self.carried * (self.site.neighbours + 1.0) * SMALLEST;
-        let room = if self.site.weights { self.hosts[host].entry.units } else { carried };
-        let (entry, start) = (&self.hosts[host].entry, self.start(&self.hosts[host].entry));
-        let takes = self.near(entry) && reading::in_part(key, entry.mark, warmth);
-        let rate = BUDGET_PART * start.falls_at * warmth * room / start.routers;
-        let (h, share) = (&mut self.hosts[host], WorkShare { rate, window: self.site.falls_in });
-        takes && h.budget.admits(work, share, h.began(), self.chance.f64(), now)
+        let share = self.slow_start_share(host, warmth);
+        let holds = self.hosts[host].budget_check.holds(work, share, now);
+        self.slow_start_violations += u64::from(!holds);
+        holds
+    }
+
+    /// What hosts in slow start got over this router's share: zero, unless its limit is missing.
+    pub fn slow_start_violations(&self) -> u64 {
+        self.slow_start_violations
+    }
+
+    /// Leaves the limit out, for a test to see its check fire.
+    pub fn leave_slow_start_unlimited(&mut self) {
+        self.limits_slow_start = false;
+    }
+
+    /// Leaves out what keeps an effect from being run twice, for a test to see its check fire.
+    pub fn leave_repeats_unguarded(&mut self) {
+        self.guards_repeats = false;
     }
 
     /// A tokened GET that may have run stays in the group that drops its repeats, and in the window.
     fn may_go(&self, g: &InHand, host: HostIndex, now: Duration) -> bool {
         let ds = &self.services[g.get.ds];
-        let Some((ran_at, _)) = g.may_have_run else { return true };
+        let Some((ran_at, _)) = g.may_have_run.filter(|_| self.guards_repeats) else { return true };
         let (a, b) = (&self.hosts[ran_at].entry, &self.hosts[host].entry);
         let same = match ds.group {
             TokenGroup::All => true,
@@ -341,7 +412,7 @@
     fn cache(&mut self, place: Place, within: f64, now: Duration) -> (Option<HostIndex>, bool) {
         let ring = std::mem::take(&mut self.caches);
         let InHand { get, key, sending, .. } = self.gets[place];
-        let (work, mut any) = (self.learnt[get.ds].sending, false);
+        let (work, mut any) = (self.work(&get), false);
         let mut first = |again: bool| {
             ring.walk::<MOST_HOSTS>(key, true).find(|&host| {
                 let g = &self.gets[place];
@@ -361,7 +432,7 @@
     /// else, while busy, a full parent for what it holds, told by the flag that comes with it.
     fn source(&mut self, place: Place, fill: bool, within: f64, now: Duration) -> Option<(HostIndex, bool)> {
         let InHand { get, key, tried: [_, tried], sending, goes, .. } = self.gets[place];
-        let (work, ring) = (self.learnt[get.ds].sending, std::mem::take(&mut self.parents));
+        let (work, ring) = (self.work(&get), std::mem::take(&mut self.parents));
         let paced = |h: &Host| h.fills.has_room(h.fills_out, now);
         let (origin, open) =
             (self.origin, self.reaches == 0.0 || self.origin.is_none_or(|o| paced(&self.hosts[o])));
@@ -535,6 +606,15 @@
             renew: !r.busy && !write,
             begin_by: r.window_ends(&r.gets[place]).unwrap_or(ZERO),
         };
+        let work = r.work(&get).alone;
+        let asked_fill = Some(forward.source).filter(|&source| source != host);
+        for cold in [Some(host), asked_fill].into_iter().flatten() {
+            if !r.check_slow_start(cold, work, now) {
+                let mark = r.hosts[cold].entry.mark;
+                self.out
+                    .log(format_args!("broken: host {cold} ({mark:016x}) in slow start gets over its share"));
+            }
+        }
         let slowness = r.slowness(host);
         let patience = (objective - sending).max(sending * slowness * PATIENT + PATIENCE);
         let overdue = now + Duration::from_secs_f64(patience);
@@ -619,7 +699,7 @@
         let ds = &self.r.services[get.ds];
         if answered {
             self.free(place);
-        } else if ds.idempotent || ds.tokened || may_have_run.is_none() {
+        } else if ds.idempotent || ds.tokened || may_have_run.is_none() || !self.r.guards_repeats {
             self.decide(place);
         } else {
             self.give_up(place);
@@ -707,7 +787,9 @@
             let known = r.sizes.get(object).filter(|&known| known < seen);
             r.sizes.set(object, known.map_or(seen, |known| blended(known, seen, BLEND)));
             learnt.parts += 1.0;
-            learnt.sending = blended(learnt.sending, seen, BLEND.max(1.0 / learnt.parts));
+            let weight = BLEND.max(1.0 / learnt.parts);
+            learnt.sending = blended(learnt.sending, seen, weight);
+            learnt.taking = blended(learnt.taking, (spent - wait).max(1e-3), weight);
         }
         if hit && returned && get.size_kb > 0.0 {
             h.crowd.learn(r.site.neighbours, sending / spent.max(1e-3), CROWDED);
@@ -746,6 +828,26 @@
         r.missed(ds, all);
     }
 
+    /// The list of hosts is known up to this moment: a start that the change log had by then was told.
+    pub fn list_known(&mut self, until: Duration) {
+        self.r.known.list = self.r.known.list.max(until);
+    }
+
+    /// By two clocks, Unix time is ahead of this router's own clock by at least this.
+    pub fn unix_offset(&mut self, offset: Duration) {
+        self.r.known.unix_offset = self.r.known.unix_offset.max(offset);
+    }
+
+    /// The process of a host has ended, or may have.
+    pub fn process_ended(&mut self, host: HostIndex, at: Duration, evidence: EndEvidence) {
+        self.r.hosts.get_mut(host).into_iter().for_each(|h| h.life.on_ended(at, evidence));
+    }
+
+    /// A connection to a host has come up.
+    pub fn connected(&mut self, host: HostIndex) {
+        self.r.hosts.get_mut(host).into_iter().for_each(|h| h.life.on_connected(self.now));
+    }
+
     pub fn listed<'e>(&mut self, kind: ListKind, entries: impl IntoIterator<Item = &'e Entry>) {
         let (r, mut laid) = (&mut *self.r, matches!(kind, ListKind::Whole | ListKind::Kept));
         if laid {
@@ -758,9 +860,16 @@
             laid |= r.parental(entry) || r.site.serves(entry.zone) || entry.kind == r.site.origin_kind;
             r.hosts.resize(r.hosts.len().max(entry.host + 1), Host::default());
             let (sharers, h) = (r.site.sharers(r.parental(entry)), &mut r.hosts[entry.host]);
-            if h.entry.mark != entry.mark {
+            let is_new = h.entry.mark != entry.mark;
+            if is_new {
                 *h = Host::default();
-            } else if h.entry.started < entry.started {
+            }
+            let heard = match (is_new, kind) {
+                (true, ListKind::Kept) => Heard::AtStart,
+                (true, _) => Heard::First,
+                (false, _) => Heard::Again,
+            };
+            if h.life.on_listed(entry.start, heard, self.now) && !is_new {
                 // A fresh start: what was known of the old process does not count.
                 (h.failures, h.trials, h.crowd.room, h.cold_since, h.fills) = Default::default();
             }
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -33,6 +33,17 @@
     pub routers: f64,
 }
 
+/// How many routers there are, as told at the start.
+struct ToldRouters {
+    all: f64,
+    /// At this location.
+    here: f64,
+    /// That choose from the caches that are chosen from here.
+    at_caches: f64,
+    /// At this location's hub.
+    at_hub: f64,
+}
+
 pub struct Footprint {
     pub zone: usize,
     /// Zones whose caches are chosen from here.
@@ -41,10 +52,12 @@
     pub parent_kind: Option<usize>,
     pub origin_kind: usize,
     pub routers: f64,
-    /// The same, at this location and at its hub, as told at the start.
-    told: [f64; 3],
+    /// The same, as told at the start.
+    told: ToldRouters,
     /// Other routers at this location.
     pub neighbours: f64,
+    /// Routers at this location's hub.
+    hub_routers: f64,
     /// Kilobytes a second of one transfer to a client.
     pub flow: f64,
     /// Such transfers that the location's link in fits; 0: not told.
@@ -104,17 +117,19 @@
     /// So many routers share the sources from now on; those of this location and its hub are taken to be the same part
     /// of them as were told.
     pub fn shared_by(&mut self, routers: f64) {
-        let [all, here, near] = self.told;
+        let ToldRouters { all, here, at_caches, at_hub } = self.told;
         let part = routers / all;
         self.routers = routers.max(1.0);
-        (self.cache_start.routers, self.parent_start.routers) =
-            ((here * part).max(1.0), (near * part).max(1.0));
-        self.neighbours = self.cache_start.routers - 1.0;
+        self.neighbours = (here * part).max(1.0) - 1.0;
+        // A count that falls may be a partition seen from one side: a host in slow start still gets what all send.
+        self.cache_start.routers = at_caches * part.max(1.0);
+        self.parent_start.routers = at_hub * part.max(1.0);
+        self.hub_routers = (at_hub * part).max(1.0);
     }
 
     /// Routers that share a source.
     pub fn sharers(&self, is_parent: bool) -> f64 {
-        if is_parent { self.parent_start.routers } else { self.routers }
+        if is_parent { self.hub_routers } else { self.routers }
     }
 
     pub fn read(told: &Values) -> Result<Self, String> {
@@ -128,18 +143,23 @@
             return Err(format!("setting my_zone names place {zone}, which is not among the zones"));
         }
         let zone_routers = counts.get(zone).map_or(routers, |&n| n as f64).max(1.0);
+        let serves = served(told)?;
+        // Routers of a zone whose caches are chosen from here may choose them, too.
+        let at_caches = serves.iter().map(|&zone| counts.get(zone).map_or(0.0, |&n| n as f64)).sum::<f64>();
+        let at_caches = at_caches.max(zone_routers);
         let near = hub_of.iter().zip(&counts).filter(|(hub, _)| Some(*hub) == hub_of.get(zone));
         let near = near.map(|(_, &n)| n as f64).sum::<f64>().max(1.0);
         let flow = above_zero(told, "domain.flow_kb_per_s")?;
         let heard = flag(told, "limits.retry_after");
         Ok(Self {
             zone,
-            serves: served(told)?,
+            serves,
             parent_kind: Some(number(told, "domain.shield_kind")?).filter(|&k| k >= 0.0).map(|k| k as usize),
             origin_kind: number(told, "domain.master_kind")? as usize,
             routers,
-            told: [routers, zone_routers, near],
+            told: ToldRouters { all: routers, here: zone_routers, at_caches, at_hub: near },
             neighbours: zone_routers - 1.0,
+            hub_routers: near,
             flow,
             link: number(told, &format!("domain.feed_kb_per_s.{zone}")).unwrap_or(0.0) / flow,
             joins: flag(told, "domain.shares_fills"),
@@ -153,7 +173,7 @@
                 from: number(told, "obligations.start_capacity")?,
                 long: span(told, "obligations.warm_within_ms")?,
                 falls_at: above_zero(told, "obligations.fall_multiple")?,
-                routers: zone_routers,
+                routers: at_caches,
             },
             parent_start: ColdStart {
                 from: number(told, "domain.parent_floor").unwrap_or(0.0),
--- /dev/null
+++ b/src/host_life.rs
@@ -0,0 +1,163 @@
+//! When the process of a host may have begun, on this router's own monotonic clock. A host in slow start is known by this.
+//!
+//! Two things tell of a new process. The list of hosts does, with a stamp of another machine's wall clock: such a stamp is a
+//! claim. It tells one start from another; when it was is taken from when this router heard of it, since late is safe. What this
+//! router finds in its first list may have started long before: there the claim is believed as far as two other clocks
+//! agree, this machine's and the newest stamp that was heard. And connections do: when a dial is refused, the process
+//! that was there is gone, and when the last one ends while the list is old, it may be. What answers next counts as a new process
+//! until the list, known up to a later moment, tells of no start.
+
+use crate::interface::Start;
+use std::time::Duration;
+
+const ZERO: Duration = Duration::ZERO;
+/// A wall clock may be stepped by so much. A start that is claimed to be longer ago than this, of a host met for the first
+/// time, was long ago, whatever other stamps say.
+pub const LONGEST_CLOCK_STEP: Duration = Duration::from_secs(3 * 3600);
+/// The list is old if it was not known for so long: several polls were lost, or this process did not run. Connections are
+/// reset without a restart, too, so that their end alone tells nothing while the list is newer.
+const LIST_OLD: Duration = Duration::from_millis(3000);
+/// A process that ended is back and in the list within this, where the list is up to date; longer, and each dial that is
+/// refused meanwhile tells of it again.
+const BACK_WITHIN: Duration = Duration::from_millis(2000);
+
+/// A host's start as a line of the list claims it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartClaim {
+    /// Unix milliseconds by another machine's wall clock. Two starts of a host have two stamps; zero: it never started late.
+    pub stamp: u64,
+    /// How long ago that was by this machine's wall clock.
+    pub age: Duration,
+}
+
+/// How a line of the list was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// In the list that this router's own process was started with.
+    AtStart,
+    /// Of a host that was not known.
+    First,
+    /// Of a host that is known.
+    Again,
+}
+
+/// What a router knows of the list and of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The list of hosts is known up to then.
+    pub list: Duration,
+    /// By two clocks, this machine's and that of others' newest stamp, Unix time is ahead of this router's own clock by at
+    /// least this; zero: nothing was heard.
+    pub unix_offset: Duration,
+}
+
+/// What tells that a host's process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// Nobody listens at its address.
+    DialRefused,
+    /// Its last connection ended, which a living process may have done.
+    ConnectionsEnded,
+    /// This router did not run for a while, has no connection to it that was there before, and has not heard from the change
+    /// log since.
+    Unseen,
+}
+
+/// Since when a host is in slow start, and for how long it has been up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Began {
+    /// Tells one slow start from another; zero: there was none.
+    pub at: Duration,
+    pub age: Duration,
+    /// It may have been before this router's own process.
+    pub is_from_first_list: bool,
+}
+
+/// What the list and connections tell of a host's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostLife {
+    /// The stamp of the start that the list last told of.
+    stamp: u64,
+    /// The latest moment at which that may have been; zero: long ago.
+    listed: Duration,
+    /// It was in the first list, and may have been long before.
+    is_from_first_list: bool,
+    /// When the process was last seen to end, and whether that tells something while the list is not old.
+    ended: Option<Duration>,
+    is_sure: bool,
+    /// When a connection first came up after that.
+    connected: Option<Duration>,
+}
+
+impl HostLife {
+    /// Takes the start that a line of the list tells of; whether it is another than the one that is known.
+    ///
+    /// A stamp that is known changes nothing, nor does one that tells of no late start. A start that is heard of was now at the
+    /// latest, or before the connection came up that has been there since the process before it was seen to end.
+    pub fn on_listed(&mut self, start: Start, heard: Heard, now: Duration) -> bool {
+        let (stamp, listed) = match start {
+            Start::At(at) => (0, at),
+            Start::Claimed(StartClaim { stamp: 0, .. }) => return false,
+            Start::Claimed(claim) if claim.stamp == self.stamp => return false,
+            Start::Claimed(claim) if heard != Heard::Again && claim.age > LONGEST_CLOCK_STEP => {
+                (claim.stamp, ZERO)
+            }
+            Start::Claimed(claim) => (claim.stamp, self.connected.unwrap_or(now)),
+        };
+        let is_another = stamp != 0 || self.listed < listed;
+        (self.stamp, self.listed, self.is_from_first_list) = (stamp, listed, heard == Heard::AtStart);
+        if is_another {
+            // The connection is this process's; of a further start it tells nothing.
+            (self.ended, self.connected) = (None, None);
+        }
+        is_another
+    }
+
+    /// Its process has ended, or may have.
+    pub fn on_ended(&mut self, at: Duration, evidence: EndEvidence) {
+        let is_sure = evidence != EndEvidence::ConnectionsEnded;
+        (self.ended, self.is_sure, self.connected) = (Some(at), is_sure, None);
+    }
+
+    /// A connection has come up.
+    pub fn on_connected(&mut self, at: Duration) {
+        if self.ended.is_some() {
+            self.connected.get_or_insert(at);
+        }
+    }
+
+    /// The start of a process that may have begun since the list was known, up to `list_known`.
+    fn suspected(&self, list_known: Duration, now: Duration) -> Option<Began> {
+        let ended = self.ended.filter(|&ended| list_known <= ended + BACK_WITHIN)?;
+        if !self.is_sure && now < list_known + LIST_OLD {
+            return None;
+        }
+        match self.connected {
+            None => Some(Began { at: ended, age: ZERO, is_from_first_list: false }),
+            Some(connected) if list_known <= connected => {
+                Some(Began { at: connected, age: now.saturating_sub(connected), is_from_first_list: false })
+            }
+            Some(_) => None,
+        }
+    }
+
+    /// The listed start; of one in the first list, what its stamp comes to where that is earlier.
+    fn listed_at(&self, unix_offset: Duration) -> Duration {
+        if !self.is_from_first_list || unix_offset.is_zero() {
+            return self.listed;
+        }
+        self.listed.min(Duration::from_millis(self.stamp).saturating_sub(unix_offset))
+    }
+
+    /// The latest start that the list or connections tell of, or one that was found out otherwise (`found`).
+    pub fn began(&self, found: Duration, known: &Known, now: Duration) -> Began {
+        let known_start = self.listed_at(known.unix_offset).max(found);
+        let suspected = self.suspected(known.list, now).filter(|suspected| suspected.at > known_start);
+        let is_from_first_list = self.is_from_first_list && self.listed >= found;
+        suspected.unwrap_or(Began {
+            at: known_start,
+            age: now.saturating_sub(known_start),
+            is_from_first_list,
+        })
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,6 +7,7 @@
 /// Small index of a cache host, parent or origin, given where names are read.
 pub type HostIndex = usize;
 
+pub use crate::host_life::StartClaim;
 pub use crate::values::Values;
 
 /// A client's GET as it was taken.
@@ -94,6 +95,31 @@
     Gone,
 }
 
+/// When a host last started, as its line tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// At a time of this router's own clock; zero: long ago.
+    At(Duration),
+    /// At a time of another machine's wall clock.
+    Claimed(StartClaim),
+}
+
+impl Start {
+    /// The stamp that tells this start from another; zero: none.
+    pub fn stamp(self) -> u64 {
+        match self {
+            Self::At(_) => 0,
+            Self::Claimed(claim) => claim.stamp,
+        }
+    }
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Self::At(Duration::ZERO)
+    }
+}
+
 /// One line of the list of hosts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
@@ -101,8 +127,7 @@
     /// The same number for this host at every router.
     pub mark: u64,
     pub standing: Standing,
-    /// When it last started; zero: long ago.
-    pub started: Duration,
+    pub start: Start,
     pub zone: usize,
     pub cell: u64,
     pub kind: usize,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod decide;
 mod footprint;
+pub mod host_life;
 pub mod interface;
 pub mod reading;
 mod ring;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! What a router remembers of hosts and of GETs in hand: plain records.
 
+use crate::host_life::{Began, HostLife, Known};
 use crate::interface::{Entry, Forward, Get, HostIndex};
-use myrtlegauge_recovery::{FillLimiter, LatencyEstimator, SlowStart, StalenessDecay};
+use myrtlegauge_recovery::{FillLimiter, LatencyEstimator, SlowStart, SlowStartCheck, StalenessDecay};
 use std::time::Duration;
 
 /// A cache host, a parent or the origin. All zero: warm, healthy, not crowded, not listed.
@@ -17,7 +18,10 @@
     pub last_answer: Duration,
     /// When the first forward since the last answer is overdue.
     pub due: Duration,
+    /// When it was found again after it had been lost; zero: never.
     pub cold_since: Duration,
+    /// What the list and connections tell of its process.
+    pub life: HostLife,
     /// Forwards out there, and what its link fits.
     pub crowd: Crowd,
     /// Forwards out that are probably fills from there, and the bound on them.
@@ -27,12 +31,14 @@
     pub times: LatencyEstimator,
     /// Work sent while cold.
     pub budget: SlowStart,
+    /// Whether what was really sent stayed within that.
+    pub budget_check: SlowStartCheck,
 }
 
 impl Host {
-    /// Since when it may be cold: it started then, or was lost and found again; zero: never.
-    pub fn began(&self) -> Duration {
-        self.entry.started.max(self.cold_since)
+    /// Since when it may be cold: it started then, or was lost and found again.
+    pub fn began(&self, known: &Known, now: Duration) -> Began {
+        self.life.began(self.cold_since, known, now)
     }
 }
 
@@ -92,4 +98,6 @@
     /// Mean sending time, s, and of how many parts it was learnt: the first ones count for more.
     pub sending: f64,
     pub parts: f64,
+    /// Mean time that a part takes at its cache, s, the source's wait left out and the crowd there left in.
+    pub taking: f64,
 }
