--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -5,7 +5,7 @@
 
 pub use start::{ConfigFile, moved};
 
-use crate::routing::{Dispatcher, Startup};
+use crate::routing::{Dispatcher, Guards, Startup};
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use std::net::SocketAddr;
@@ -20,6 +20,11 @@
 }
 
 pub fn run() -> Result<(), String> {
+    run_with(Guards::ALL)
+}
+
+/// The same with these guards: a proof leaves one out.
+pub fn run_with(guards: Guards) -> Result<(), String> {
     let signals = signals()?;
     let text = start::read()?;
     let told = start::ConfigFile::parse(&text)?;
@@ -31,7 +36,7 @@
         }
         Ok(changelog)
     };
-    serve(signals, &told.name, told.startup()?, reread)
+    serve(signals, &told.name, Startup { guards, ..told.startup()? }, reread)
 }
 
 /// Takes GETs until it is told to end. `reread` says at SIGHUP where the change log is by what was told anew.
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -5,7 +5,7 @@
 use super::proxy::Proxy;
 use super::replicas::{Change, Doubt};
 use bytes::Bytes;
-use myrtlegauge::host_life::EndEvidence;
+use myrtlegauge::host_life::{EndEvidence, is_to_new_process};
 use myrtlegauge::interface::{End, Entry, HostIndex, Purged, Standing};
 use myrtlegauge_wire::feed::Step;
 use myrtlegauge_wire::protocol::Fault;
@@ -52,6 +52,7 @@
     pub fn look_for_doubt(&mut self) {
         let Some(replicas) = &mut self.replicas else { return };
         let doubt = replicas.in_doubt(self.now);
+        self.list_known = self.list_known.max(replicas.list_known());
         self.doubted = matches!(doubt, Doubt::Begins | Doubt::Lasts).then_some(self.now);
         match doubt {
             Doubt::Begins => {
@@ -283,7 +284,8 @@
             }
             for key in self.hosts[host].links.clone() {
                 let link = &mut self.links[key];
-                if !own || moved || has_started && link.up && ended.is_none_or(|ended| link.since < ended) {
+                let is_earlier = link.up && !is_to_new_process(link.since, ended, self.list_known);
+                if !own || moved || has_started && is_earlier {
                     self.end_link(key, End::Reset);
                 } else if entry.standing == Standing::Gone {
                     link.retired = true;
--- a/crates/dispatcher/src/routing/replicas.rs
+++ b/crates/dispatcher/src/routing/replicas.rs
@@ -47,12 +47,18 @@
 struct Link<O: Owner> {
     name: ReplicaName,
     poll: LongPoll<O>,
+    /// When the poll that is out or was answered last was asked.
+    asked_at: Duration,
 }
 
 impl<O: Owner> Link<O> {
     fn new(address: SocketAddr, key: O::Key) -> Self {
         // Replicas are told apart by where they listen.
-        Self { name: ReplicaName(address.to_string()), poll: LongPoll::new(address, key) }
+        Self {
+            name: ReplicaName(address.to_string()),
+            poll: LongPoll::new(address, key),
+            asked_at: Duration::ZERO,
+        }
     }
 }
 
@@ -64,6 +70,8 @@
     news: VecDeque<Record>,
     /// Whether copies were in doubt when that was last asked.
     was_in_doubt: bool,
+    /// When the last poll was asked that has been answered: what the replica had then is known.
+    list_known: Duration,
     /// Until when the end waits for the last poll to go out.
     leaves_until: Option<Duration>,
 }
@@ -116,7 +124,14 @@
             )
         };
         let core = Subscriber::new(config, now)?;
-        Ok(Self { core, links, news: VecDeque::new(), was_in_doubt: true, leaves_until: None })
+        Ok(Self {
+            core,
+            links,
+            news: VecDeque::new(),
+            was_in_doubt: true,
+            list_known: now,
+            leaves_until: None,
+        })
     }
 
     /// Reads and writes what can be; true: there is more to read.
@@ -147,6 +162,8 @@
         };
         let taken = self.core.answered(name, answer, now).map_err(|error| LostPoll(error.to_string()))?;
         self.news.extend(taken.apply);
+        let asked = self.links.iter().find(|link| link.name == *name).map(|link| link.asked_at);
+        self.list_known = self.list_known.max(asked.unwrap_or_default());
         Ok(())
     }
 
@@ -156,16 +173,22 @@
             return;
         }
         while let Some(ask) = self.core.next_ask(now) {
-            self.send(&ask, hub, accounts);
+            self.send(&ask, hub, accounts, now);
         }
     }
 
-    fn send(&mut self, ask: &Ask, hub: &Hub<O>, accounts: &Rc<Accounts>) {
+    fn send(&mut self, ask: &Ask, hub: &Hub<O>, accounts: &Rc<Accounts>, now: Duration) {
         if let Some(link) = self.links.iter_mut().find(|link| link.name == ask.to) {
+            link.asked_at = now;
             link.poll.ask(&ask.request.to_query(), ask.give_up_at, hub, accounts);
         }
     }
 
+    /// Until when the list of hosts is known, by what the replicas had.
+    pub fn list_known(&self) -> Duration {
+        self.list_known
+    }
+
     /// Whether there are records to be applied.
     pub fn has_news(&self) -> bool {
         !self.news.is_empty()
@@ -220,7 +243,7 @@
         if self.leaves_until.is_none() {
             self.leaves_until = Some(now + LEAVES_FOR);
             let ask = self.core.leave(now);
-            self.send(&ask, hub, accounts);
+            self.send(&ask, hub, accounts, now);
         }
         let is_told = !self.links.iter().any(|link| link.poll.is_open());
         is_told || self.leaves_until.is_some_and(|until| now >= until)
--- a/crates/lab/src/faults/fleet.rs
+++ b/crates/lab/src/faults/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet of real dispatcher processes, each with a page of faults of its own, before stand-in hosts and a change log.
 
+use super::guards::{self, Without};
 use crate::fleet::dispatchers::Links;
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::fault_page::FaultPage;
@@ -56,6 +57,7 @@
     pub caches: usize,
     pub terms: SlowStartTerms,
     pub seed: u64,
+    pub without: Option<Without>,
 }
 
 /// One life of a cache's process that began cold during the run.
@@ -114,7 +116,9 @@
                 known: change_log.known(&links.hosts),
                 seed: scale.seed.wrapping_mul(SEEDS_PER_RUN) + index as u64,
             };
-            dispatchers.push(Dispatcher::start_in(&settings, told, false, page.environment().into())?);
+            let mut environment = Vec::from(page.environment());
+            environment.extend(scale.without.map(|without| (guards::VARIABLE, without.word().into())));
+            dispatchers.push(Dispatcher::start_in(&settings, told, false, environment)?);
         }
         let addresses: Vec<_> = dispatchers.iter().map(|dispatcher| dispatcher.address).collect();
         for &address in &addresses {
@@ -210,6 +214,11 @@
             .any(|outage| outage.dispatcher == dispatcher && outage.from <= to && from <= outage.to)
     }
 
+    /// System calls of the dispatchers that were made to fail so far.
+    pub fn failed_calls(&self) -> Result<u64, String> {
+        self.pages.iter().map(|page| page.failed_calls().map_err(|e| e.to_string())).sum()
+    }
+
     /// Lines of the dispatchers' logs that tell of an invariant that did not hold, or of a panic.
     pub async fn violations_logged(&self) -> Vec<String> {
         let mut found = Vec::new();
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cases;
 pub mod fleet;
+pub mod guards;
 mod load;
 mod schedule;
 mod slow_start;
@@ -69,6 +70,9 @@
     /// Of the schedule's events only these, by number from 0: to find the least that still fails.
     #[arg(long, value_delimiter = ',')]
     only: Vec<usize>,
+    /// A guard that the dispatchers lack: the run must fail.
+    #[arg(long)]
+    without: Option<guards::Without>,
     /// The small form: sizes for a shared machine.
     #[arg(long)]
     quick: bool,
@@ -107,7 +111,7 @@
 async fn prove_drawn(plan: &Plan, seeds: std::ops::Range<u64>) -> Result<ExitCode, String> {
     let (mut held, mut judged) = (true, true);
     for seed in seeds {
-        let scale = soak::scale(seed, plan.quick, terms());
+        let scale = Scale { without: plan.without, ..soak::scale(seed, plan.quick, terms()) };
         let events = select(soak::draw(&scale), &plan.only);
         let found = play(scale, plan.rate, &events, After::Healed).await?;
         found.print("soak", seed, &events);
@@ -157,7 +161,7 @@
 fn scale(plan: &Plan) -> Scale {
     let terms = terms();
     let dispatchers = if plan.quick { plan.dispatchers.min(8) } else { plan.dispatchers };
-    Scale { dispatchers, caches: CACHES, terms, seed: plan.seed }
+    Scale { dispatchers, caches: CACHES, terms, seed: plan.seed, without: plan.without }
 }
 
 /// The events with these numbers; all where none are named.
@@ -173,6 +177,8 @@
     warm_share: f64,
     breaks: Vec<String>,
     ends: std::collections::BTreeMap<&'static str, u64>,
+    /// System calls of the dispatchers that were made to fail.
+    failed_calls: u64,
     lag: Duration,
 }
 
@@ -197,7 +203,7 @@
             }
         }
         let summary = json!({"proof": "faults", "case": name, "seed": seed, "held": self.holds(), "slow_start": ratio,
-            "warm_share": self.warm_share, "broken": self.breaks.len(), "ends": self.ends,
+            "warm_share": self.warm_share, "broken": self.breaks.len(), "ends": self.ends, "failed_calls": self.failed_calls,
             "lag_ms": self.lag.as_secs_f64() * 1e3});
         println!("{summary}");
     }
@@ -250,6 +256,7 @@
         warm_share,
         breaks,
         ends: tally.ends(),
+        failed_calls: fleet.failed_calls()?,
         lag: Duration::from_micros(lag.load(Ordering::Relaxed)),
     })
 }
--- a/crates/lab/src/faults/soak.rs
+++ b/crates/lab/src/faults/soak.rs
@@ -27,7 +27,7 @@
 pub fn scale(seed: u64, is_small: bool, terms: SlowStartTerms) -> Scale {
     let mut random = fastrand::Rng::with_seed(seed);
     let dispatchers = if is_small { DISPATCHERS_SMALL } else { random.usize(DISPATCHERS) };
-    Scale { dispatchers, caches: CACHES, terms, seed }
+    Scale { dispatchers, caches: CACHES, terms, seed, without: None }
 }
 
 /// The schedule of a seed.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -87,7 +87,7 @@
         Proof::ChangelogStandIn => ended(capacity::change_log::run()),
         Proof::Dispatch { file: None } => {
             myrtlegauge_operator::logs::start_plain();
-            ended(myrtlegauge_dispatcher::program::run())
+            ended(myrtlegauge_dispatcher::program::run_with(faults::guards::guards()))
         }
         Proof::Dispatch { file: Some(file) } => {
             let defences = replication::defences::subscriber();
--- a/crates/lab/src/stand/fault_page.rs
+++ b/crates/lab/src/stand/fault_page.rs
@@ -68,11 +68,6 @@
         self.put(RATES + call as usize, (part * RATE_OF as f64).round() as u64)
     }
 
-    /// Has no call fail any more.
-    pub fn heal(&self) -> io::Result<()> {
-        CALLS.iter().try_for_each(|&call| self.fail_calls(call, 0.0))
-    }
-
     /// Calls that were made to fail so far, of all kinds.
     pub fn failed_calls(&self) -> io::Result<u64> {
         CALLS.iter().map(|&call| self.get(FAILED + call as usize)).sum()
@@ -121,6 +116,6 @@
         }
         page.fail_calls(Call::Accept, 0.5).expect("a page");
         assert_eq!(page.failed_calls().expect("a page"), 0);
-        page.heal().expect("a page");
+        page.fail_calls(Call::Accept, 0.0).expect("a page");
     }
 }
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::holds;
+use common::{holds, run};
 
 #[test]
 fn a_cold_cache_is_not_overloaded_whatever_wall_clocks_say() {
@@ -24,3 +24,16 @@
 fn a_cold_cache_is_not_overloaded_beside_another_or_as_it_starts_again() {
     holds("faults", &["two", "again"]);
 }
+
+#[test]
+fn drawn_schedules_of_faults_that_overlap_break_no_rule() {
+    let (code, told) = run("faults", &["--soak", "2"]);
+    assert_eq!(code, 0, "{told}");
+}
+
+#[test]
+fn without_its_guard_a_cold_cache_is_overloaded_and_the_check_fires() {
+    let (code, told) = run("faults", &["--case", "told", "--without", "starting"]);
+    assert!(code == 1 && told.contains("in slow start got"), "{told}");
+    assert!(told.contains("in slow start gets over its share"), "{told}");
+}
--- a/src/host_life.rs
+++ b/src/host_life.rs
@@ -21,6 +21,16 @@
 /// refused meanwhile tells of it again.
 const BACK_WITHIN: Duration = Duration::from_millis(2000);
 
+/// A start is in the change log within this after the process before it ended: the time that a process is away, and the
+/// list's delay.
+const TOLD_WITHIN: Duration = Duration::from_millis(5000);
+
+/// Whether a connection that came up at `up_at` is to the process whose start is heard of now: it came up after the process
+/// before was seen to end, and that was about when the list, known up to `list_known` before this news, fell behind.
+pub fn is_to_new_process(up_at: Duration, ended: Option<Duration>, list_known: Duration) -> bool {
+    ended.is_some_and(|ended| ended <= up_at && list_known <= ended + TOLD_WITHIN)
+}
+
 /// A host's start as a line of the list claims it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StartClaim {
--- a/tests/host_life.rs
+++ b/tests/host_life.rs
@@ -1,6 +1,8 @@
 //! When a host counts as started, whatever the wall clocks of machines say and however old the list is.
 
-use myrtlegauge::host_life::{Began, EndEvidence, Heard, HostLife, Known, LONGEST_CLOCK_STEP};
+use myrtlegauge::host_life::{
+    Began, EndEvidence, Heard, HostLife, Known, LONGEST_CLOCK_STEP, is_to_new_process,
+};
 use myrtlegauge::interface::{Start, StartClaim};
 use std::time::Duration;
 
@@ -157,3 +159,15 @@
     assert_eq!(began(&life, NOW, woken).age, ZERO);
     assert_eq!(began(&life, woken, woken).at, ZERO);
 }
+
+#[test]
+fn a_connection_is_to_the_new_process_if_it_came_up_after_the_end_that_the_list_now_tells_of() {
+    let ended = Some(NOW);
+    assert!(is_to_new_process(NOW + seconds(1), ended, NOW + seconds(2)));
+    assert!(!is_to_new_process(NOW - seconds(1), ended, NOW + seconds(2)), "it was there before");
+    assert!(!is_to_new_process(NOW + seconds(1), None, NOW), "nobody saw an end");
+    assert!(
+        !is_to_new_process(NOW + seconds(1), ended, NOW + seconds(60)),
+        "that end was another, long before"
+    );
+}
