Unanswered requests count beside a cold host's budget only while it is silent

Ruled out as its main cause: the first guess at a request's work, and what connections tell of a process.

Cause: fills are slow at a cold host, and each that was out took from the budget for as long as it took (decide.rs, admits). Change: it does so only while the host has answered nothing for 250 ms.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,6 +50,8 @@
 const PATIENT: f64 = 2.0;
 /// forwards for one GET; a third failure says that the trouble is not one host's.
 pub(crate) const MOST_FORWARDS: u32 = 3;
+/// ms; a host in slow start that has answered nothing for so long, with something out there, may be reading nothing.
+const SILENT: Duration = Duration::from_millis(250);
 /// share of what pushes a cold host over: a burst and what drains meanwhile make twice it in one span.
 const BUDGET_PART: f64 = 0.5;
 /// size of a small host beside the mean, where weights are untold: the cold one may be small.
@@ -340,9 +342,10 @@
             (self.near(&self.hosts[host].entry), self.parental(&self.hosts[host].entry));
         let h = &mut self.hosts[host];
         let takes = is_near && reading::in_part(key, h.entry.mark, warmth);
-        // What it has not answered counts beside what was sent lately: it may read all of that at once.
+        // What a silent host has not answered counts beside what was sent lately: it may read all of that at once.
         let out = if is_parent { h.fills_out } else { h.crowd.out };
-        let fits = (out + 1.0) * work.crowded <= (share.rate * share.window).max(work.crowded);
+        let is_silent = out > 0.0 && now >= h.last_answer + SILENT;
+        let fits = !is_silent || (out + 1.0) * work.crowded <= (share.rate * share.window).max(work.crowded);
         let began = h.began(&known, now);
         let cold_since = ColdSince { at: began.at, is_older_than_router: began.is_from_first_list };
         takes && fits && h.budget.admits(work.alone, share, cold_since, phase, now)
