--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -181,6 +181,8 @@
                 round.writer().look_for_doubt();
                 let doubted = round.writer().doubted;
                 round.doubted(doubted);
+                let list_known = round.writer().list_known;
+                round.list_known(list_known);
                 if let Some(sharers) = round.writer().sharers.take() {
                     round.shared(sharers as f64);
                 }
@@ -318,8 +320,6 @@
 /// What connections tell of hosts' processes, before anything is decided by it. An end and a connection that came up after it
 /// are told in this order: what is up in a turn was dialled before that turn.
 fn tell_processes(round: &mut Round<'_, Proxy>) {
-    let known = round.writer().list_known;
-    round.list_known(known);
     while let Some((host, at, evidence)) = round.writer().processes_ended.pop() {
         round.process_ended(host, at, evidence);
     }
--- a/crates/lab/src/faults/fleet.rs
+++ b/crates/lab/src/faults/fleet.rs
@@ -1,7 +1,8 @@
 //! A fleet of real dispatcher processes, each with a page of faults of its own, before stand-in hosts and a change log.
 
 use super::guards::{self, Without};
-use crate::fleet::dispatchers::Links;
+use crate::fleet::dispatchers::{Links, share_among};
+use crate::fleet::testbed::serve;
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::fault_page::FaultPage;
 use crate::stand::hosts::{Bounds, Host};
@@ -247,18 +248,6 @@
     kinds.enumerate().map(host).collect()
 }
 
-fn serve(hosts: &[Arc<Host>], change_log: &Arc<ChangeLog>, ledger: &Arc<Ledger>) -> JoinSet<()> {
-    let mut tasks = JoinSet::new();
-    for host in hosts {
-        host.meet(hosts);
-        let (host, ledger) = (Arc::clone(host), Arc::clone(ledger));
-        tasks.spawn(async move { drop(host.serve(ledger).await) });
-    }
-    let change_log = Arc::clone(change_log);
-    tasks.spawn(async move { drop(change_log.serve().await) });
-    tasks
-}
-
 /// The settings of the fleet: the platform's, with the slow start of `scale`.
 fn settings(scale: &Scale, change_log: &str) -> Result<Value, String> {
     let file = process::operator_file("127.0.0.1:1", change_log, false, DRAIN_GRACE_MS);
@@ -269,8 +258,6 @@
         "fall_multiple": terms.fall_multiple, "fall_ms": terms.fall_within.as_secs_f64() * 1e3});
     settings["domain"]["pass_through_ok"] = json!(true);
     settings["domain"]["shares_fills"] = json!(false);
-    settings["balancers"] = json!(scale.dispatchers);
-    let counts = settings["domain"]["count_by_zone"].as_array_mut().into_iter().flatten();
-    counts.filter(|count| **count != json!(0)).for_each(|count| *count = json!(scale.dispatchers));
+    share_among(&mut settings, scale.dispatchers);
     Ok(settings)
 }
--- a/crates/lab/src/fleet/dispatchers.rs
+++ b/crates/lab/src/fleet/dispatchers.rs
@@ -83,9 +83,13 @@
     settings["domain"]["pass_through_ok"] = json!(true);
     settings["limits"]["cancel"] = json!(false);
     let count = if scenario.defect == Some(Defect::CountOfOne) { 1 } else { scenario.dispatchers };
+    share_among(&mut settings, count);
+    Ok(settings)
+}
+
+/// Has settings made of an operator file tell of `count` dispatchers: the file counts one in its own zone and none elsewhere.
+pub fn share_among(settings: &mut Value, count: usize) {
     settings["balancers"] = json!(count);
-    // The operator file counts one dispatcher in its own zone and none elsewhere.
     let counts = settings["domain"]["count_by_zone"].as_array_mut().into_iter().flatten();
     counts.filter(|zone_count| **zone_count != json!(0)).for_each(|zone_count| *zone_count = json!(count));
-    Ok(settings)
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 mod run;
 mod scenario;
 mod servers;
-mod testbed;
+pub mod testbed;
 mod workload;
 pub mod zones;
 
--- a/crates/lab/src/fleet/testbed.rs
+++ b/crates/lab/src/fleet/testbed.rs
@@ -174,7 +174,7 @@
 }
 
 /// Serves hosts and change log in tasks.
-fn serve(hosts: &[Arc<Host>], change_log: &Arc<ChangeLog>, ledger: &Arc<Ledger>) -> JoinSet<()> {
+pub fn serve(hosts: &[Arc<Host>], change_log: &Arc<ChangeLog>, ledger: &Arc<Ledger>) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
     for host in hosts {
         host.meet(hosts);
