Slow start: a module of its own, a log line a second for each cold host, a rig that loads it

Cause: nothing in the dispatcher's logs tells from what a host's start was taken, what it may get, and what work a request counts as; the lab's proof has one load and one kind of cache.

'slow start host=...' is logged once a second for each host in slow start, and only while there is one: evidence of the start, age, allowed requests, share, requests and work sent, mean work used, shortest and longest time measured. The lab's faults take weight, fall multiple, spread of work, true capacity and a limit below the bound; a failed run prints those lines.

Tests of root, recovery and dispatcher pass.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod news;
 mod proxy;
 pub mod replicas;
+mod slow_start_log;
 mod sockets;
 mod zones;
 
@@ -254,6 +255,7 @@
         }
         proxy.flush_connections();
         proxy.log_origin_use();
+        proxy.log_slow_starts(router);
         proxy.check_full_service();
         if proxy.sweep() {
             // The decision module's count of a host's forwards must match the forwards on its connections.
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -9,6 +9,7 @@
 use super::in_flight::InFlightGets;
 use super::lifecycle::{Lifecycle, State};
 use super::replicas::ReplicaClient;
+use super::slow_start_log::SlowStartLog;
 use super::zones::{ZoneUpdate, Zones};
 use super::{ConnectionKey, Dispatcher, EventSource};
 use bytes::BytesMut;
@@ -35,7 +36,7 @@
 /// connection that the host is closing.
 const IDLE_TIME_FRACTION: f64 = 0.8;
 /// Interval of the log budgets: one line on faults and `MAX_END_LINES` lines on GETs in each.
-const LOG_INTERVAL: Duration = Duration::from_millis(1000);
+pub const LOG_INTERVAL: Duration = Duration::from_millis(1000);
 /// Maximum number of lines in each `LOG_INTERVAL` on GETs that were late or not returned. It allows following some of
 /// them by id through the dispatchers involved, and keeps logging from making an overload worse: a line costs some
 /// microseconds of the only core.
@@ -182,6 +183,7 @@
     pub origin_fills: u32,
     /// When these two counts are logged next.
     origin_log_due_at: Duration,
+    pub slow_start_log: SlowStartLog,
     /// Since when purges may have been missed and the host list may be outdated, after the process was paused or, with
     /// replicas, while none answers.
     pub purges_unknown_since: Option<Duration>,
@@ -329,6 +331,7 @@
             origin_forwards: 0,
             origin_fills: 0,
             origin_log_due_at: Duration::ZERO,
+            slow_start_log: SlowStartLog::default(),
             purges_unknown_since: None,
             startup: StartupTimeline::start(clock.now()),
             zones: None,
--- a/crates/dispatcher/tests/log_keys.rs
+++ b/crates/dispatcher/tests/log_keys.rs
@@ -136,18 +136,38 @@
     let expected =
         ["id", "class", "forwards", "in_hand_ms", "end", "retry_after_ms", "last", "note", "host", "unsaid"];
     assert_eq!(keys, expected);
-    let host = |name: &str, kind: &str, zone: &str| {
+    let host = |name: &str, kind: &str, zone: &str, since_ms: u128| {
         json!({"name": name, "address": slow_host().to_string(), "zone": zone, "type": kind, "group": 0,
-            "status": "active", "weight": 8.0, "since_ms": 0})
+            "status": "active", "weight": 8.0, "since_ms": since_ms as u64})
     };
     let endpoints = [
-        host("cache-0", "standard", "edge"),
-        host("parent-1", "parent", "hub"),
-        host("origin-2", "origin", "hub"),
+        host("cache-0", "standard", "edge", 0),
+        host("parent-1", "parent", "hub", 0),
+        host("origin-2", "origin", "hub", 0),
     ];
     let fleet = json!({"index": 0, "snapshot": true, "endpoints": endpoints});
     let keys = keys_of("late", &json!({"seq": 1, "results": [{"seq": 1, "fleet": fleet}]}));
     let expected =
         ["id", "class", "forwards", "in_hand_ms", "forward_ms", "host", "source", "fill_ms", "unsaid"];
     assert_eq!(keys, expected);
+    let unix_ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+    let started = host("cache-0", "standard", "edge", unix_ms);
+    let fleet = json!({"index": 0, "snapshot": true, "endpoints": [started]});
+    let keys = keys_of("slow start", &json!({"seq": 1, "results": [{"seq": 1, "fleet": fleet}]}));
+    let expected = [
+        "host",
+        "from",
+        "age_ms",
+        "fraction",
+        "allowed",
+        "allowed_work_ms",
+        "share_work_ms",
+        "requests",
+        "work_ms",
+        "mean_work_ms",
+        "least_ms",
+        "largest_ms",
+        "unsaid",
+    ];
+    assert_eq!(keys, expected);
 }
--- a/crates/lab/src/faults/fleet.rs
+++ b/crates/lab/src/faults/fleet.rs
@@ -5,7 +5,7 @@
 use crate::fleet::testbed::serve;
 use crate::stand::changelog::{ChangeLog, Tells};
 use crate::stand::fault_page::FaultPage;
-use crate::stand::hosts::{Bounds, Host};
+use crate::stand::hosts::{Bounds, Host, UNBOUND};
 use crate::stand::ledger::Ledger;
 use crate::stand::net::Net;
 use crate::stand::process::{self, Dispatcher, Told};
@@ -17,10 +17,7 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::JoinSet;
 
-/// Weight of each cache in the list: requests at full pace at once. A request takes as long beside seven others, so that the usual load of
-/// 90 a second is within what the weight tells.
-const CACHE_WEIGHT: f64 = 8.0;
-/// Time that a request takes at a cache.
+/// Mean time that a request takes at a cache that is not crowded.
 const CACHE_WORK: Duration = Duration::from_millis(80);
 const SOURCE_WORK: Duration = Duration::from_millis(2);
 const DRAIN_GRACE_MS: u64 = 250;
@@ -42,20 +39,32 @@
 }
 
 impl SlowStartTerms {
-    /// Requests of mean work that a cache of this age may get within `fall_within`, chance left out.
-    pub fn allowed(&self, age: Duration) -> f64 {
+    /// Requests of mean work that a cache of this age and weight may get within `fall_within`, chance left out.
+    pub fn allowed(&self, age: Duration, weight: f64) -> f64 {
         let warmth = age.div_duration_f64(self.warm_within).min(1.0);
         let capacity = self.start_capacity + (1.0 - self.start_capacity) * warmth;
-        let full = CACHE_WEIGHT * self.fall_within.div_duration_f64(CACHE_WORK);
+        let full = weight * self.fall_within.div_duration_f64(CACHE_WORK);
         self.fall_multiple * capacity * full
     }
 }
 
+/// How the caches of a run work.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheModel {
+    /// Weight in the list: transfers at full pace that fit the cache's link.
+    pub weight: f64,
+    /// Transfers that really fit, as a multiple of the weight. Without it, a request takes as long beside any others.
+    pub capacity_factor: Option<f64>,
+    /// Standard deviation of the logarithm of a request's work.
+    pub work_sigma: f64,
+}
+
 /// Sizes of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Scale {
     pub dispatchers: usize,
     pub caches: usize,
+    pub cache_model: CacheModel,
     pub terms: SlowStartTerms,
     pub seed: u64,
     pub without: Option<Without>,
@@ -103,7 +112,8 @@
         let change_log = Arc::new(change_log);
         let links = (0..scale.dispatchers).map(|index| Links::open(index, &hosts, &change_log));
         let links = links.collect::<std::io::Result<Vec<_>>>().map_err(|e| e.to_string())?;
-        let lines: Vec<_> = hosts.iter().map(|host| weighted_line(host, 0)).collect();
+        let weight = scale.cache_model.weight;
+        let lines: Vec<_> = hosts.iter().map(|host| line_of_weight(host, "active", 0, weight)).collect();
         change_log.list(&lines, true, Tells::List);
         let servers = serve(&hosts, &change_log, &ledger);
         let pages = (0..scale.dispatchers).map(|index| FaultPage::new(scale.seed ^ index as u64));
@@ -149,7 +159,8 @@
         tokio::time::sleep_until(began.into()).await;
         let event = self.ledger.start_put();
         self.cold_starts.lock().expect("no holder panics").push(ColdStart { cache, began, event });
-        let told = weighted_line(host, host.since_ms.load(Ordering::Relaxed));
+        let since_ms = host.since_ms.load(Ordering::Relaxed);
+        let told = line_of_weight(host, "active", since_ms, self.scale.cache_model.weight);
         self.change_log.list(&[told], false, Tells::Start(event));
     }
 
@@ -220,6 +231,17 @@
         self.pages.iter().map(|page| page.failed_calls().map_err(|e| e.to_string())).sum()
     }
 
+    /// Lines of the dispatchers' logs on hosts in slow start.
+    pub async fn slow_starts_logged(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        for (index, dispatcher) in self.dispatchers.iter().enumerate() {
+            let logged = dispatcher.lock().await.logged();
+            let lines = logged.lines().filter(|line| line.contains("slow start host="));
+            found.extend(lines.map(|line| format!("dispatcher {index} logged: {line}")));
+        }
+        found
+    }
+
     /// Lines of the dispatchers' logs that tell of an invariant that did not hold, or of a panic.
     pub async fn violations_logged(&self) -> Vec<String> {
         let mut found = Vec::new();
@@ -233,21 +255,23 @@
     }
 }
 
-/// A host's line of the list.
-fn weighted_line(host: &Host, since_ms: u64) -> String {
-    line_of_weight(host, "active", since_ms, CACHE_WEIGHT)
-}
-
 fn hosts(scale: &Scale, net: &Arc<Net>) -> std::io::Result<Vec<Arc<Host>>> {
     let kinds = std::iter::repeat_n("cache", scale.caches).chain(["parent", "origin"]);
     let host = |(index, kind): (usize, &'static str)| {
-        let work = if kind == "cache" { CACHE_WORK } else { SOURCE_WORK };
-        let bounds = Bounds { hit: work, fill: work, write: SOURCE_WORK, ..crate::stand::hosts::UNBOUND };
+        let bounds = if kind == "cache" { cache_bounds(&scale.cache_model) } else { SOURCE_BOUNDS };
         Ok(Arc::new(Host::bound(index, kind, bounds, Arc::clone(net))?.by_object()))
     };
     kinds.enumerate().map(host).collect()
 }
 
+const SOURCE_BOUNDS: Bounds = Bounds { hit: SOURCE_WORK, fill: SOURCE_WORK, write: SOURCE_WORK, ..UNBOUND };
+
+fn cache_bounds(model: &CacheModel) -> Bounds {
+    let link_transfers = model.capacity_factor.map(|factor| factor * model.weight);
+    let work_sigma = model.work_sigma;
+    Bounds { hit: CACHE_WORK, fill: CACHE_WORK, work_sigma, link_transfers, ..SOURCE_BOUNDS }
+}
+
 /// The settings of the fleet: the platform's, with the slow start of `scale`.
 fn settings(scale: &Scale, change_log: &str) -> Result<Value, String> {
     let file = process::operator_file("127.0.0.1:1", change_log, false, DRAIN_GRACE_MS);
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -15,7 +15,7 @@
 use crate::stand;
 use cases::Case;
 use clap::ValueEnum;
-use fleet::{Fleet, Scale, SlowStartTerms};
+use fleet::{CacheModel, Fleet, Scale, SlowStartTerms};
 use load::Tally;
 use schedule::Event;
 use serde_json::json;
@@ -29,6 +29,9 @@
 const TOO_BUSY: Duration = Duration::from_millis(120);
 /// Caches of the fleet.
 const CACHES: usize = 4;
+/// Dispatchers of a named case, unless told, and of its small form.
+const DISPATCHERS: usize = 12;
+const DISPATCHERS_QUICK: usize = 8;
 /// What a cache that is warm again gets, beside the mean of the others, at least.
 const WARM_SHARE: f64 = 0.7;
 /// A cache is looked at for that so long after it has to be warm to all, over so long a time. It has to be once the time of
@@ -37,6 +40,8 @@
 const WARM_AFTER: Duration = Duration::from_millis(1500);
 const WARM_OVER: Duration = Duration::from_millis(2000);
 
+/// Lines of the dispatchers' logs that a failed run prints.
+const MAX_LOG_LINES: usize = 60;
 /// How long a drawn schedule's run goes on after its last fault has begun: the longest of them is over by then.
 const HEALED_FOR: Duration = Duration::from_millis(8000);
 
@@ -53,11 +58,27 @@
 pub struct Plan {
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    #[arg(long, default_value_t = 12)]
-    dispatchers: usize,
+    /// Dispatchers; 12 unless told, 8 in the small form.
+    #[arg(long)]
+    dispatchers: Option<usize>,
     /// Requests a second of all clients.
     #[arg(long, default_value_t = 360.0)]
     rate: f64,
+    /// Weight of each cache in the list.
+    #[arg(long, default_value_t = 8.0)]
+    weight: f64,
+    /// Multiple of its capacity under which a cold cache falls.
+    #[arg(long, default_value_t = 0.75)]
+    fall_multiple: f64,
+    /// Transfers that really fit a cache's link, as a multiple of its weight; else a request takes as long beside any others.
+    #[arg(long)]
+    capacity_factor: Option<f64>,
+    /// Standard deviation of the logarithm of a request's work.
+    #[arg(long, default_value_t = 0.0)]
+    work_sigma: f64,
+    /// Fraction of the bound of a cold cache over which a run fails.
+    #[arg(long, default_value_t = 1.0)]
+    within: f64,
     /// One case alone; else all of them, one after another.
     #[arg(long)]
     case: Option<Case>,
@@ -89,17 +110,14 @@
     let cases = plan.case.map_or_else(|| Case::value_variants().to_vec(), |case| vec![case]);
     let (mut held, mut judged) = (true, true);
     for case in cases {
-        let scale = scale(plan);
+        let scale = plan.scale();
         let events = cases::events(case, scale.dispatchers);
         let events = select(events, &plan.only);
         let name = case.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned());
-        let found = play(scale, plan.rate, &events, After::Warm).await?;
+        let found = play(scale, plan.demand(), &events, After::Warm).await?;
         found.print(&name, plan.seed, &events);
         if !found.holds() {
-            println!(
-                "replay: cargo run --release -p myrtlegauge-lab -- faults --seed {} --case {name}",
-                plan.seed
-            );
+            println!("replay: {}", replay(&format!("--seed {} --case {name}", plan.seed)));
         }
         held &= found.holds();
         judged &= found.holds() || found.lag < TOO_BUSY;
@@ -111,17 +129,17 @@
 async fn prove_drawn(plan: &Plan, seeds: std::ops::Range<u64>) -> Result<ExitCode, String> {
     let (mut held, mut judged) = (true, true);
     for seed in seeds {
-        let scale = Scale { without: plan.without, ..soak::scale(seed, plan.quick, terms()) };
+        let scale = Scale {
+            without: plan.without,
+            ..soak::scale(seed, plan.quick, plan.cache_model(), plan.terms())
+        };
         let events = select(soak::draw(&scale), &plan.only);
-        let found = play(scale, plan.rate, &events, After::Healed).await?;
+        let found = play(scale, plan.demand(), &events, After::Healed).await?;
         found.print("soak", seed, &events);
         if !found.holds() {
-            println!(
-                "replay: cargo run --release -p myrtlegauge-lab -- faults --seed {seed} --soak 1{}",
-                if plan.quick { " --quick" } else { "" }
-            );
+            println!("replay: {}", replay(&format!("--seed {seed} --soak 1")));
             if plan.reduce {
-                reduce(scale, plan.rate, events).await?;
+                reduce(scale, plan.demand(), events).await?;
             }
         }
         held &= found.holds();
@@ -130,11 +148,26 @@
     Ok(stand::verdict(held, judged))
 }
 
+/// The command that plays one run of this program's again: its arguments, with the seed and the schedule of that run.
+fn replay(run: &str) -> String {
+    let replaced = ["--seed", "--case", "--soak"];
+    let mut kept = Vec::new();
+    let mut arguments = std::env::args().skip(2);
+    while let Some(argument) = arguments.next() {
+        if replaced.contains(&argument.as_str()) {
+            arguments.next();
+        } else {
+            kept.push(argument);
+        }
+    }
+    format!("cargo run --release -p myrtlegauge-lab -- faults {run} {}", kept.join(" "))
+}
+
 /// Leaves out one event after another as long as the schedule still fails, and prints what remains.
-async fn reduce(scale: Scale, rate: f64, mut events: Vec<Event>) -> Result<(), String> {
+async fn reduce(scale: Scale, demand: Demand, mut events: Vec<Event>) -> Result<(), String> {
     'smaller: loop {
         for fewer in soak::smaller(&events) {
-            if !play(scale, rate, &fewer, After::Healed).await?.holds() {
+            if !play(scale, demand, &fewer, After::Healed).await?.holds() {
                 events = fewer;
                 continue 'smaller;
             }
@@ -148,20 +181,45 @@
     Ok(())
 }
 
-/// A slow start that is long beside the faults, so that each meets a cold cache.
-fn terms() -> SlowStartTerms {
-    SlowStartTerms {
-        start_capacity: 0.22,
-        warm_within: Duration::from_secs(10),
-        fall_multiple: 0.75,
-        fall_within: Duration::from_secs(1),
+impl Plan {
+    /// A slow start that is long beside the faults, so that each meets a cold cache.
+    fn terms(&self) -> SlowStartTerms {
+        SlowStartTerms {
+            start_capacity: 0.22,
+            warm_within: Duration::from_secs(10),
+            fall_multiple: self.fall_multiple,
+            fall_within: Duration::from_secs(1),
+        }
+    }
+
+    fn cache_model(&self) -> CacheModel {
+        let (weight, work_sigma) = (self.weight, self.work_sigma);
+        CacheModel { weight, capacity_factor: self.capacity_factor, work_sigma }
+    }
+
+    fn scale(&self) -> Scale {
+        let usual = if self.quick { DISPATCHERS_QUICK } else { DISPATCHERS };
+        Scale {
+            dispatchers: self.dispatchers.unwrap_or(usual),
+            caches: CACHES,
+            cache_model: self.cache_model(),
+            terms: self.terms(),
+            seed: self.seed,
+            without: self.without,
+        }
+    }
+
+    fn demand(&self) -> Demand {
+        Demand { requests_per_second: self.rate, within: self.within }
     }
 }
 
-fn scale(plan: &Plan) -> Scale {
-    let terms = terms();
-    let dispatchers = if plan.quick { plan.dispatchers.min(8) } else { plan.dispatchers };
-    Scale { dispatchers, caches: CACHES, terms, seed: plan.seed, without: plan.without }
+/// What is asked of a fleet, and what must hold under it.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    requests_per_second: f64,
+    /// Fraction of the bound of a cold cache that the fleet may send to it.
+    within: f64,
 }
 
 /// The events with these numbers; all where none are named.
@@ -180,6 +238,8 @@
     /// System calls of the dispatchers that were made to fail.
     failed_calls: u64,
     lag: Duration,
+    /// What the dispatchers logged on hosts in slow start.
+    slow_starts: Vec<String>,
 }
 
 impl Found {
@@ -201,6 +261,9 @@
             for (number, event) in events.iter().enumerate() {
                 println!("  event {number}: {:?} {:?}", event.at, event.fault);
             }
+            for line in self.slow_starts.iter().take(MAX_LOG_LINES) {
+                println!("  {line}");
+            }
         }
         let summary = json!({"proof": "faults", "case": name, "seed": seed, "held": self.holds(), "slow_start": ratio,
             "warm_share": self.warm_share, "broken": self.breaks.len(), "ends": self.ends, "failed_calls": self.failed_calls,
@@ -210,7 +273,7 @@
 }
 
 /// Plays a schedule on a fleet under load.
-async fn play(scale: Scale, rate: f64, events: &[Event], after: After) -> Result<Found, String> {
+async fn play(scale: Scale, demand: Demand, events: &[Event], after: After) -> Result<Found, String> {
     let lag = Arc::new(AtomicU64::new(0));
     let watch = tokio::spawn(stand::watch(Arc::clone(&lag)));
     let fleet = Fleet::start(scale).await?;
@@ -232,12 +295,12 @@
             played
         })
     };
-    load::run(&fleet, rate, &until, &tally).await;
+    load::run(&fleet, demand.requests_per_second, &until, &tally).await;
     playing.await.map_err(|e| e.to_string())??;
     watch.abort();
     let worst = slow_start::judge(&fleet);
     let (_, mut breaks) = fleet.ledger.breaks();
-    for (start, worst) in worst.iter().filter(|(_, worst)| worst.ratio > 1.0) {
+    for (start, worst) in worst.iter().filter(|(_, worst)| worst.ratio > demand.within) {
         let Worst { arrivals, bound, age, .. } = worst;
         let cache = start.cache;
         breaks.push(format!(
@@ -258,6 +321,7 @@
         ends: tally.ends(),
         failed_calls: fleet.failed_calls()?,
         lag: Duration::from_micros(lag.load(Ordering::Relaxed)),
+        slow_starts: fleet.slow_starts_logged().await,
     })
 }
 
--- a/crates/lab/src/faults/slow_start.rs
+++ b/crates/lab/src/faults/slow_start.rs
@@ -33,7 +33,7 @@
 
 /// The worst window of one slow start among those that break the rule if they are over: more than two thirds of the
 /// arrivals came from dispatchers that counted as told.
-pub fn worst_window(arrivals: &[Arrival], began: Instant, terms: &SlowStartTerms) -> Worst {
+pub fn worst_window(arrivals: &[Arrival], began: Instant, terms: &SlowStartTerms, weight: f64) -> Worst {
     let (mut worst, mut first) = (Worst::default(), 0);
     for (last, arrival) in arrivals.iter().enumerate() {
         while arrivals[first].at + terms.fall_within <= arrival.at {
@@ -45,7 +45,7 @@
             continue;
         }
         let age = arrival.at.saturating_duration_since(began);
-        let bound = bound(terms.allowed(age));
+        let bound = bound(terms.allowed(age, weight));
         let ratio = window.len() as f64 / bound;
         if ratio > worst.ratio {
             worst = Worst { ratio, arrivals: window.len(), bound, age };
@@ -71,7 +71,7 @@
             .map(|(at, who)| Arrival { at, told: at >= fleet.ledger.start_told_at(start.event, who) })
             .collect();
         arrivals.sort_by_key(|arrival| arrival.at);
-        (*start, worst_window(&arrivals, start.began, &fleet.scale.terms))
+        (*start, worst_window(&arrivals, start.began, &fleet.scale.terms, fleet.scale.cache_model.weight))
     };
     starts.iter().map(worst).collect()
 }
@@ -89,6 +89,8 @@
         fall_within: Duration::from_secs(1),
     };
 
+    const WEIGHT: f64 = 8.0;
+
     fn arrivals(began: Instant, gap: Duration, count: u32, told: bool) -> Vec<Arrival> {
         (0..count).map(|number| Arrival { at: began + gap * number, told }).collect()
     }
@@ -98,7 +100,7 @@
     fn the_bound_is_the_pages() {
         assert_eq!(bound(25.0), 43.0);
         assert_eq!(bound(36.0), 50.0);
-        assert!((TERMS.allowed(Duration::ZERO) - 44.0).abs() < 1e-9);
+        assert!((TERMS.allowed(Duration::ZERO, WEIGHT) - 44.0).abs() < 1e-9);
     }
 
     /// A rush that dispatchers send which were told breaks the rule, the same from others does not.
@@ -106,10 +108,10 @@
     fn a_rush_counts_by_who_was_told() {
         let began = Instant::now();
         let rush = arrivals(began, Duration::from_millis(5), 190, true);
-        assert!(worst_window(&rush, began, &TERMS).ratio > 1.0);
+        assert!(worst_window(&rush, began, &TERMS, WEIGHT).ratio > 1.0);
         let untold = arrivals(began, Duration::from_millis(5), 190, false);
-        assert_eq!(worst_window(&untold, began, &TERMS).arrivals, 0);
+        assert_eq!(worst_window(&untold, began, &TERMS, WEIGHT).arrivals, 0);
         let slow = arrivals(began, Duration::from_millis(40), 90, true);
-        assert!(worst_window(&slow, began, &TERMS).ratio < 1.0);
+        assert!(worst_window(&slow, began, &TERMS, WEIGHT).ratio < 1.0);
     }
 }
--- a/crates/lab/src/faults/soak.rs
+++ b/crates/lab/src/faults/soak.rs
@@ -1,7 +1,7 @@
 //! Schedules drawn from a seed: faults of all kinds that overlap in time, one or two of them cold starts; and how a schedule
 //! that fails is cut down to the least that still does.
 
-use super::fleet::{Scale, SlowStartTerms};
+use super::fleet::{CacheModel, Scale, SlowStartTerms};
 use super::schedule::{Event, Fault};
 use crate::stand::fault_layout::Call;
 use crate::stand::fault_page::ClockShift;
@@ -24,10 +24,10 @@
 }
 
 /// The sizes of a seed's run.
-pub fn scale(seed: u64, is_small: bool, terms: SlowStartTerms) -> Scale {
+pub fn scale(seed: u64, is_small: bool, cache_model: CacheModel, terms: SlowStartTerms) -> Scale {
     let mut random = fastrand::Rng::with_seed(seed);
     let dispatchers = if is_small { DISPATCHERS_SMALL } else { random.usize(DISPATCHERS) };
-    Scale { dispatchers, caches: CACHES, terms, seed, without: None }
+    Scale { dispatchers, caches: CACHES, cache_model, terms, seed, without: None }
 }
 
 /// The schedule of a seed.
@@ -113,7 +113,7 @@
 #[cfg(test)]
 mod tests {
     use super::{draw, scale};
-    use crate::faults::fleet::SlowStartTerms;
+    use crate::faults::fleet::{CacheModel, SlowStartTerms};
     use crate::faults::schedule::Fault;
     use std::time::Duration;
 
@@ -124,14 +124,16 @@
         fall_within: Duration::from_secs(1),
     };
 
+    const CACHE: CacheModel = CacheModel { weight: 8.0, capacity_factor: None, work_sigma: 0.0 };
+
     /// The same seed draws the same schedule, another one another; each has a cold start.
     #[test]
     fn a_seed_draws_its_schedule() {
         for seed in 1..50 {
-            let scale = scale(seed, false, TERMS);
+            let scale = scale(seed, false, CACHE, TERMS);
             let drawn = draw(&scale);
             assert_eq!(drawn, draw(&scale));
-            assert_ne!(drawn, draw(&super::scale(seed + 1, false, TERMS)));
+            assert_ne!(drawn, draw(&super::scale(seed + 1, false, CACHE, TERMS)));
             assert!(drawn.iter().any(|event| matches!(event.fault, Fault::CrashCache { .. })));
             assert!((10..=40).contains(&scale.dispatchers));
         }
--- a/crates/lab/src/fleet/servers.rs
+++ b/crates/lab/src/fleet/servers.rs
@@ -2,7 +2,7 @@
 
 use super::Scenario;
 use super::workload::objects;
-use crate::stand::hosts::{self, Bounds, Cold, FRESH_MS, Host};
+use crate::stand::hosts::{self, Bounds, Cold, FRESH_MS, Host, UNBOUND};
 use crate::stand::ledger::unix_ms;
 use crate::stand::net::Net;
 use myrtlegauge::interface::hash_host_id;
@@ -63,6 +63,7 @@
         write: work,
         holds: copies,
         cold: None,
+        ..UNBOUND
     };
     match kind {
         "cache" => Bounds {
--- a/crates/lab/src/stand/hosts.rs
+++ b/crates/lab/src/stand/hosts.rs
@@ -39,6 +39,10 @@
     pub hit: Duration,
     pub fill: Duration,
     pub write: Duration,
+    /// Spread of the work around its mean: the standard deviation of its logarithm.
+    pub work_sigma: f64,
+    /// Transfers that fit the host's link at full pace. More of them share it, and each takes longer.
+    pub link_transfers: Option<f64>,
     /// Copies held; the one unused for longest goes first.
     pub holds: usize,
     pub cold: Option<Cold>,
@@ -61,6 +65,8 @@
     hit: Duration::from_micros(300),
     fill: Duration::from_micros(300),
     write: Duration::from_micros(300),
+    work_sigma: 0.0,
+    link_transfers: None,
     holds: usize::MAX,
     cold: None,
 };
@@ -147,6 +153,7 @@
     pub named_current: AtomicU64,
     fleet: OnceLock<Vec<Arc<Host>>>,
     net: Arc<Net>,
+    random: Mutex<fastrand::Rng>,
 }
 
 /// A life of the host's process.
@@ -204,6 +211,7 @@
             named_current: AtomicU64::new(0),
             fleet: OnceLock::new(),
             net,
+            random: Mutex::new(fastrand::Rng::with_seed(index as u64)),
         })
     }
 
@@ -323,6 +331,17 @@
         step.at_once = step.at_once.max(self.at_once.load(Ordering::Relaxed));
     }
 
+    /// Draws the work of one GET, as a multiple of the mean, from a log-normal distribution.
+    fn draw_work(&self) -> f64 {
+        let sigma = self.bounds.work_sigma;
+        if sigma == 0.0 {
+            return 1.0;
+        }
+        let mut random = self.random.lock().expect("no holder panics");
+        let normal = (-2.0 * (1.0 - random.f64()).ln()).sqrt() * (std::f64::consts::TAU * random.f64()).cos();
+        (sigma * normal - sigma * sigma / 2.0).exp()
+    }
+
     /// Works on a GET once there is a place; false: it is full, or fell over under what was asked of it.
     async fn work(&self, long: Duration) -> bool {
         let at_once = self.at_once.fetch_add(1, Ordering::Relaxed) + 1;
@@ -340,8 +359,10 @@
         let mut done = !full && !self.is_down();
         if done {
             let _place = self.places.acquire().await;
-            let times = f64::from(self.slow.load(Ordering::Relaxed)) / 100.0 / warmth;
-            tokio::time::sleep(long.mul_f64(times)).await;
+            let sharing =
+                self.bounds.link_transfers.map_or(1.0, |transfers| (at_once as f64 / transfers).max(1.0));
+            let times = f64::from(self.slow.load(Ordering::Relaxed)) / 100.0 / warmth * sharing;
+            tokio::time::sleep(long.mul_f64(times * self.draw_work())).await;
             done = !self.is_down();
         }
         self.at_once.fetch_sub(1, Ordering::Relaxed);
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod slow_start_check;
 pub mod staleness_decay;
 pub mod startup_timeline;
+pub mod time_range;
 
 pub use fill_limiter::{FillLimiter, FillOutcome};
 pub use latency_estimator::LatencyEstimator;
@@ -21,3 +22,4 @@
 pub use slow_start_check::SlowStartCheck;
 pub use staleness_decay::StalenessDecay;
 pub use startup_timeline::{LossCause, Milestones, StartupTimeline};
+pub use time_range::TimeRange;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,10 +17,10 @@
 use crate::host_life::{EndEvidence, ListingContext, TimeReference};
 use crate::interface::*;
 use crate::ring::{DirectMappedTable, Ring, RingMember, SlidingCounts};
-use crate::site_settings::{DeliveryService, SiteSettings, SlowStartSettings, TokenGroup};
+use crate::site_settings::{DeliveryService, SiteSettings, TokenGroup};
 use crate::snapshot;
 use crate::state::{HostState, InFlightGet, LinkLoad, SentForward, ServiceStats};
-use myrtlegauge_recovery::{ColdSince, FillOutcome, RetryBudget, WorkShare, bits::count_recent, bits::mix};
+use myrtlegauge_recovery::{FillOutcome, RetryBudget, bits::count_recent, bits::mix};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -60,13 +60,6 @@
 const TOLERATED_SLOWDOWN: f64 = 2.0;
 /// Largest number of forwards for one GET. A third failure shows that the cause is not a single host.
 pub(crate) const MAX_FORWARDS: u32 = 3;
-/// A host in slow start that has answered nothing for this long, with forwards in flight, may not be reading at all.
-const SLOW_START_SILENCE: Duration = Duration::from_millis(250);
-/// Budget of work for a cold host, as a fraction of the work that overloads it. A burst, plus what drains in the
-/// meantime, makes twice the budget in one overload window.
-const OVERLOAD_BUDGET_FRACTION: f64 = 0.5;
-/// Assumed weight of a cold host relative to the mean, where no weights are configured: it may be a small one.
-const MIN_RELATIVE_WEIGHT: f64 = 0.6;
 /// Fraction of the time left to the latency objective that a GET is planned to take. The rest is for what comes after
 /// it.
 const USABLE_OBJECTIVE_FRACTION: f64 = 0.8;
@@ -88,9 +81,6 @@
 const MIN_SENDING_OBJECTIVES: f64 = 0.5;
 /// Fraction of the latency objective that is assumed as the sending time until some were observed.
 const INITIAL_SENDING_FRACTION: f64 = 0.25;
-/// Fraction of the latency objective that is assumed as a request's work at a host in slow start until some was
-/// observed. Too large a value is safe.
-const INITIAL_WORK_FRACTION: f64 = 0.5;
 /// Weight of a new sample in a moving average. The average covers about ten outcomes.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of a probable fill in the fraction of them that reaches the origin. About one in twenty does. The average
@@ -107,21 +97,12 @@
 /// Mean retry delay that a client receives when its GET is shed. It is randomized by half of it in both directions.
 const MEAN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Expected time of a request at a cache, in seconds.
-#[derive(Clone, Copy)]
-struct RequestWork {
-    /// Without other transfers.
-    alone_s: f64,
-    /// Beside the usual number of other transfers.
-    loaded_s: f64,
-}
-
 /// Decides where the GETs of one router go. It does no I/O.
 pub struct Router {
     pub(crate) site: SiteSettings,
     pub(crate) services: Vec<DeliveryService>,
     pub(crate) service_stats: Vec<ServiceStats>,
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
     pub(crate) hosts: Vec<HostState>,
     gets: Slab<InFlightGet>,
     pub(crate) caches: Ring,
@@ -132,7 +113,7 @@
     /// Time of the last purge, by object or group.
     purges: BTreeMap<PurgeKey, Duration>,
     /// How current the host list is, and the offset to Unix time.
-    time_reference: TimeReference,
+    pub(crate) time_reference: TimeReference,
     /// Purges since about this time may have been missed. Everything is treated as purged then.
     purges_unknown_since: Option<Duration>,
     /// When a copy was last returned, by key. Zero means that the key was only requested.
@@ -142,7 +123,7 @@
     /// The location's inbound link: probable fills in flight, their mean, and the learnt capacity.
     location_link: LinkLoad,
     /// Work that a warm cache gets from this router, in seconds per second.
-    work_per_warm_cache: f64,
+    pub(crate) work_per_warm_cache: f64,
     /// Work sent to warm caches since the last wake-up, in seconds.
     work_since_wakeup_s: f64,
     is_wakeup_scheduled: bool,
@@ -153,9 +134,9 @@
     origin_fraction: f64,
     /// When to subscribe to the host list. It is never reached where the list comes without a request.
     subscribe_at: Duration,
-    limits_slow_start: bool,
+    pub(crate) limits_slow_start: bool,
     guards_repeats: bool,
-    slow_start_violations: u64,
+    pub(crate) slow_start_violations: u64,
 }
 
 impl LinkLoad {
@@ -202,7 +183,7 @@
 }
 
 impl HostState {
-    fn is_active(&self) -> bool {
+    pub(crate) fn is_active(&self) -> bool {
         self.entry.status == HostStatus::Active
     }
 
@@ -355,102 +336,6 @@
             || self.site.hub_by_zone.get(entry.zone) == self.site.hub_by_zone.get(self.site.zone)
     }
 
-    pub(crate) fn slow_start_settings(&self, entry: &HostEntry) -> &SlowStartSettings {
-        if self.is_parent(entry) { &self.site.parent_slow_start } else { &self.site.cache_slow_start }
-    }
-
-    /// Fraction of its full work that a recently started host may get; `None` for a warm host.
-    pub(crate) fn slow_start_fraction(&self, host: HostIndex, now: Duration) -> Option<f64> {
-        let (entry, process_start) =
-            (&self.hosts[host].entry, self.hosts[host].process_start(&self.time_reference, now));
-        let settings = self.slow_start_settings(entry);
-        let relative_age = process_start.age.as_secs_f64() / settings.duration.as_secs_f64().max(1e-3);
-        let is_cold = process_start.at > ZERO && relative_age < 1.0 && entry.kind != self.site.origin_kind;
-        let fraction = if is_cold {
-            snapshot::quantize_fraction(
-                settings.initial_fraction + (1.0 - settings.initial_fraction) * relative_age,
-            )
-        } else {
-            1.0
-        };
-        Some(fraction.min(1.0 - entry.withheld_fraction)).filter(|&fraction| fraction < 1.0)
-    }
-
-    /// Expected work of a request at a host in slow start. While nothing was observed, as after a restart, it is a
-    /// large fraction of the latency objective.
-    fn request_work(&self, get: &Get) -> RequestWork {
-        let (stats, ds) = (&self.service_stats[get.ds], &self.services[get.ds]);
-        match (get.size_kb == 0.0, stats.sample_count == 0.0) {
-            (false, _) => RequestWork { alone_s: stats.mean_sending_s, loaded_s: stats.mean_sending_s },
-            (true, true) => RequestWork {
-                alone_s: ds.objective_s * INITIAL_WORK_FRACTION,
-                loaded_s: ds.objective_s * INITIAL_WORK_FRACTION,
-            },
-            (true, false) => RequestWork {
-                alone_s: stats.mean_sending_s,
-                loaded_s: stats.mean_service_s.max(stats.mean_sending_s),
-            },
-        }
-    }
-
-    /// Share of this router in the work of a host in slow start that takes `fraction` of its full work.
-    fn slow_start_share(&self, host: HostIndex, fraction: f64) -> WorkShare {
-        let estimated_capacity =
-            self.work_per_warm_cache * (self.site.other_local_routers + 1.0) * MIN_RELATIVE_WEIGHT;
-        let entry = &self.hosts[host].entry;
-        let capacity = if self.site.has_weights { entry.weight } else { estimated_capacity };
-        let settings = self.slow_start_settings(entry);
-        let rate = OVERLOAD_BUDGET_FRACTION * settings.overload_factor * fraction * capacity
-            / settings.sharing_routers;
-        WorkShare { rate, window_s: self.site.overload_window_s }
-    }
-
-    /// Whether the slow start of a host admits a request. A host that was lost and reached again is in slow start,
-    /// too. It takes a fixed fraction of its keys, the same at every router, within this router's share of its
-    /// capacity.
-    fn slow_start_admits(&mut self, host: HostIndex, key: u64, work: RequestWork, now: Duration) -> bool {
-        let Some(fraction) = self.slow_start_fraction(host, now).filter(|_| self.limits_slow_start) else {
-            return true;
-        };
-        let share = self.slow_start_share(host, fraction);
-        let (time_reference, phase) = (self.time_reference, self.rng.f64());
-        let (is_near, is_parent) =
-            (self.is_near(&self.hosts[host].entry), self.is_parent(&self.hosts[host].entry));
-        let host = &mut self.hosts[host];
-        let takes_key = is_near && snapshot::is_in_key_fraction(key, host.entry.id_hash, fraction);
-        // What a silent host has not answered counts in addition to recent work, since it may read all of that at
-        // once.
-        let in_flight = if is_parent { host.fills_in_flight } else { host.link.in_flight };
-        let is_silent = in_flight > 0.0 && now >= host.last_answer + SLOW_START_SILENCE;
-        let fits = !is_silent
-            || (in_flight + 1.0) * work.loaded_s <= (share.rate * share.window_s).max(work.loaded_s);
-        let process_start = host.process_start(&time_reference, now);
-        let cold_since =
-            ColdSince { at: process_start.at, is_older_than_router: process_start.is_from_initial_list };
-        takes_key && fits && host.slow_start.admits(work.alone_s, share, cold_since, phase, now)
-    }
-
-    /// Checks the slow-start limit against the work that is really sent to a host or, for a fill, requested from a parent.
-    /// Returns false if it exceeds the share.
-    fn check_slow_start(&mut self, host: HostIndex, work_s: f64, now: Duration) -> bool {
-        let Some(fraction) = self.slow_start_fraction(host, now) else { return true };
-        let share = self.slow_start_share(host, fraction);
-        let is_within_share = self.hosts[host].slow_start_check.check(work_s, share, now);
-        self.slow_start_violations += u64::from(!is_within_share);
-        is_within_share
-    }
-
-    /// Number of times that a host in slow start got more than this router's share. Zero unless the limit is
-    /// disabled.
-    pub fn slow_start_violations(&self) -> u64 {
-        self.slow_start_violations
-    }
-
-    /// Disables the limit, so that a test can see its check fail.
-    pub fn disable_slow_start_limit(&mut self) {
-        self.limits_slow_start = false;
-    }
-
     /// Disables the guard against running an effect twice, so that a test can see its check fail.
     pub fn disable_repeat_guard(&mut self) {
         self.guards_repeats = false;
@@ -1028,8 +913,9 @@
             stats.sample_count += 1.0;
             let weight = SAMPLE_WEIGHT.max(1.0 / stats.sample_count);
             stats.mean_sending_s = moving_average(stats.mean_sending_s, observed_s, weight);
-            stats.mean_service_s =
-                moving_average(stats.mean_service_s, (elapsed_s - wait_s).max(1e-3), weight);
+            let service_s = (elapsed_s - wait_s).max(1e-3);
+            stats.mean_service_s = moving_average(stats.mean_service_s, service_s, weight);
+            stats.service_range.record(service_s);
         }
         if is_hit && is_returned && get.size_kb > 0.0 {
             host.link.record_pace(
--- a/src/host_life.rs
+++ b/src/host_life.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// The latest time at which the start that the list last reported may have been; zero means long ago.
+    pub fn listed_start(&self) -> Duration {
+        self.listed_start
+    }
+
     /// The start from the host list. For one in the first list it is the claimed time, where that is earlier.
     fn start_from_list(&self, unix_offset: Duration) -> Duration {
         if !self.is_from_initial_list || unix_offset.is_zero() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod ring;
 pub mod settings;
 mod site_settings;
+pub mod slow_start;
 pub mod snapshot;
 mod state;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,9 @@
 
 use crate::host_life::{HostLifecycle, ProcessStart, TimeReference};
 use crate::interface::{Forward, Get, HostEntry, HostIndex};
-use myrtlegauge_recovery::{FillLimiter, LatencyEstimator, SlowStart, SlowStartCheck, StalenessDecay};
+use myrtlegauge_recovery::{
+    FillLimiter, LatencyEstimator, SlowStart, SlowStartCheck, StalenessDecay, TimeRange,
+};
 use std::time::Duration;
 
 /// State of a cache host, a parent or the origin. All zero means warm, healthy, not loaded and not listed.
@@ -32,6 +34,8 @@
     pub latency: LatencyEstimator,
     /// Limits the work sent while the host is cold.
     pub slow_start: SlowStart,
+    /// What was sent to it in slow start since the last status report.
+    pub slow_start_sent: SentWork,
     /// Checks that the work sent while the host is cold stays within this router's share.
     pub slow_start_check: SlowStartCheck,
 }
@@ -43,6 +47,13 @@
     }
 }
 
+/// Requests sent to a host, and their expected work.
+#[derive(Clone, Copy, Default)]
+pub struct SentWork {
+    pub requests: u32,
+    pub work_s: f64,
+}
+
 /// Load on a link.
 #[derive(Clone, Default)]
 pub struct LinkLoad {
@@ -108,4 +119,6 @@
     /// Mean time that a part takes at its cache. It includes the effect of other transfers, but not the wait for the
     /// source.
     pub mean_service_s: f64,
+    /// Shortest and longest such time since the last status report on slow starts.
+    pub service_range: TimeRange,
 }
