--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -37,3 +37,19 @@
     assert!(code == 1 && told.contains("in slow start got"), "{told}");
     assert!(told.contains("in slow start gets over its share"), "{told}");
 }
+
+/// Guards against issue 54: the work of a request was estimated lower the more was in flight, so that a cold cache got more
+/// the more was asked.
+#[test]
+fn a_cold_cache_gets_at_most_nine_tenths_of_its_bound_whatever_is_asked() {
+    let told = ["--case", "told", "--weight", "4", "--fall-multiple", "2", "--within", "0.9"];
+    let cases: [&[&str]; 3] = [
+        &["--dispatchers", "1", "--rate", "720"],
+        &["--dispatchers", "3", "--rate", "720", "--work-sigma", "0.8"],
+        &["--dispatchers", "12", "--rate", "1500", "--capacity-factor", "3"],
+    ];
+    for case in cases {
+        let (code, told) = run("faults", &[&told, case].concat());
+        assert_eq!(code, 0, "{told}");
+    }
+}
