Slow start: a check of what is written to sockets that shares nothing with the limit

Change: ArrivalCheck counts the requests written to a host since its line told a start, against the bound of this router's share by settings and weight, at the least mean of a block of 64 observed times. Violations go into 'rules: starting' and the log beside the check that was there. Starts of the first list are left out: how long ago they were is not known. Where no weights are told there is no check.

Measured: a limit whose work is scaled to a hundredth is seen (tests/guards.rs: 0 violations at 1, more at 0.01); the limit left out is seen by the check that was there, unchanged.

--- a/crates/dispatcher/src/routing/counters.rs
+++ b/crates/dispatcher/src/routing/counters.rs
@@ -65,8 +65,10 @@
     pub unmatched_replies: u64,
     /// Forwards that the guard withheld immediately before sending.
     pub withheld: u64,
-    /// Violations of each rule.
-    pub violations: [u64; Rule::ALL.len()],
+    /// Times that a host in slow start got more than this router's share, as the limit counts work.
+    pub slow_start_share_exceeded: u64,
+    /// Violations of each rule that the checks here have counted.
+    violations: [u64; Rule::ALL.len()],
     /// Invariants that did not hold.
     pub broken_invariants: u64,
     pub rounds: u64,
@@ -118,9 +120,10 @@
         }
     }
 
-    /// Sets a rule's count of violations, for a count that is kept elsewhere.
-    pub fn set_violations(&mut self, rule: Rule, count: u64) {
-        self.violations[rule as usize] = count;
+    /// Violations of a rule, those that the decision module has counted among them.
+    pub fn violations_of(&self, rule: Rule) -> u64 {
+        let counted_elsewhere = if rule == Rule::Starting { self.slow_start_share_exceeded } else { 0 };
+        self.violations[rule as usize] + counted_elsewhere
     }
 
     /// Checks an invariant: asserted in debug builds, counted and logged in release builds.
@@ -175,7 +178,7 @@
         }
         write!(f, "\nrules: not sent {}, violations of", self.withheld)?;
         for rule in Rule::ALL {
-            write!(f, " {} {}", rule.name(), self.violations[rule as usize])?;
+            write!(f, " {} {}", rule.name(), self.violations_of(rule))?;
         }
         write!(
             f,
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -191,6 +191,7 @@
             return;
         }
         self.check_sent(get_index);
+        self.check_slow_start_written(get_index);
         let Self {
             in_flight,
             hosts,
@@ -540,6 +541,9 @@
         self.counters.record_end(end, note);
         self.origin_fills += u32::from(note == Note::FilledFromOrigin);
         let (ds, elapsed) = (self.in_flight.get_mut(get_index).get.ds, self.now - forward.sent_at);
+        if end == End::Returned && !is_unmodified {
+            self.record_service_time(ds, note, elapsed, source_wait);
+        }
         if let Some(zones) = &mut self.zones {
             let is_late = elapsed > self.limits.objective(ds);
             let filled = match note {
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod news;
 mod proxy;
 pub mod replicas;
+mod slow_start_check;
 mod slow_start_log;
 mod sockets;
 mod zones;
@@ -37,6 +38,7 @@
 use replicas::{Change, ReplicaClient};
 pub use replicas::{ReplicaKey, ReplicasStartup};
 use serde::Deserialize;
+use slow_start_check::WrittenRequests;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -122,6 +124,7 @@
             Clock::start(),
         );
         (proxy.guards, proxy.effects) = (startup.guards, Effect::read_all(startup.settings));
+        proxy.written_requests = WrittenRequests::new(&router, startup.settings, proxy.limits.objectives());
         if let Some(ZoneChannel { updates, report, report_interval }) = zone_channel {
             let inserted = zone_event_loop.insert_source(updates, |event, (), dispatcher: &mut Self| {
                 if let calloop::channel::Event::Msg(update) = event {
@@ -247,7 +250,7 @@
             proxy.flush_connections();
             let violations = router.slow_start_violations();
             let counters = &mut proxy.counters;
-            counters.set_violations(Rule::Starting, violations);
+            counters.slow_start_share_exceeded = violations;
             counters.rounds += 1;
             counters.longest_round_us =
                 counters.longest_round_us.max(round_start.elapsed().as_micros() as u64);
@@ -300,9 +303,15 @@
         self.proxy.counters.taken
     }
 
+    /// Multiplies the work that the limit on hosts in slow start counts for a request, so that a test can see the check of
+    /// what was written fail.
+    pub fn scale_request_work(&mut self, factor: f64) {
+        self.router.scale_request_work(factor);
+    }
+
     /// Violations of a rule so far; zero unless a guard is missing.
     pub fn violations(&self, rule: Rule) -> u64 {
-        self.proxy.counters.violations[rule as usize]
+        self.proxy.counters.violations_of(rule)
     }
 
     /// Bytes in all buffers.
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -246,6 +246,7 @@
                     process_ended_at: None,
                     links: Vec::new(),
                 };
+                self.written_requests.forget(index);
                 match self.hosts.get_mut(index) {
                     Some(slot) => *slot = host,
                     None => self.hosts.push(host),
@@ -273,6 +274,9 @@
         let host = &mut self.hosts[index];
         let has_restarted = has_new_start(&host.entry, &entry);
         (host.entry, host.removed_at) = (entry, host.removed_at.or(Some(self.now)).filter(|_| is_removed));
+        if has_restarted {
+            self.record_listed_start(index);
+        }
         self.close_outdated_links(index, address, has_restarted);
         if entry.status != HostStatus::Active {
             self.cancel_unsent_forwards(|_, forward| {
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -9,6 +9,7 @@
 use super::in_flight::InFlightGets;
 use super::lifecycle::{Lifecycle, State};
 use super::replicas::ReplicaClient;
+use super::slow_start_check::WrittenRequests;
 use super::slow_start_log::SlowStartLog;
 use super::zones::{ZoneUpdate, Zones};
 use super::{ConnectionKey, Dispatcher, EventSource};
@@ -184,6 +185,7 @@
     /// When these two counts are logged next.
     origin_log_due_at: Duration,
     pub slow_start_log: SlowStartLog,
+    pub written_requests: WrittenRequests,
     /// Since when purges may have been missed and the host list may be outdated, after the process was paused or, with
     /// replicas, while none answers.
     pub purges_unknown_since: Option<Duration>,
@@ -229,6 +231,11 @@
         self.objectives.get(ds).copied().unwrap_or(Duration::MAX)
     }
 
+    /// The latency objectives by class index.
+    pub fn objectives(&self) -> &[Duration] {
+        &self.objectives
+    }
+
     /// Reads the limits from the settings.
     pub fn read(config: &Settings) -> Self {
         let services = || config.get("classes").and_then(|value| value.as_array()).into_iter().flatten();
@@ -332,6 +339,7 @@
             origin_fills: 0,
             origin_log_due_at: Duration::ZERO,
             slow_start_log: SlowStartLog::default(),
+            written_requests: WrittenRequests::default(),
             purges_unknown_since: None,
             startup: StartupTimeline::start(clock.now()),
             zones: None,
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,6 +5,7 @@
 //! together overload no host and return no stale copy. The crate does no I/O and reads no clock: callers pass in the time
 //! and the events, and act on the results.
 
+pub mod arrival_check;
 pub mod bits;
 pub mod fill_limiter;
 pub mod latency_estimator;
@@ -16,6 +17,7 @@
 pub mod time_range;
 pub mod work_estimate;
 
+pub use arrival_check::{ArrivalCheck, Excess, LeastWork, SlowStartTerms};
 pub use fill_limiter::{FillLimiter, FillOutcome};
 pub use latency_estimator::LatencyEstimator;
 pub use retry_budget::RetryBudget;
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -7,7 +7,7 @@
 use crate::site_settings::SlowStartSettings;
 use crate::snapshot;
 use crate::state::{HostState, SentWork};
-use myrtlegauge_recovery::{ColdSince, TimeRange, WorkShare};
+use myrtlegauge_recovery::{ColdSince, SlowStartTerms, TimeRange, WorkShare};
 use std::time::Duration;
 
 const ZERO: Duration = Duration::ZERO;
@@ -83,6 +83,18 @@
 }
 
 impl Router {
+    /// Terms of the slow start of a tier, by the settings and the number of routers that share a host.
+    pub fn slow_start_terms(&self, is_parent: bool) -> SlowStartTerms {
+        let settings = if is_parent { &self.site.parent_slow_start } else { &self.site.cache_slow_start };
+        SlowStartTerms {
+            initial_fraction: settings.initial_fraction,
+            duration: settings.duration,
+            overload_factor: settings.overload_factor,
+            window: Duration::from_secs_f64(self.site.overload_window_s),
+            sharing_routers: settings.sharing_routers,
+        }
+    }
+
     /// Multiplies the work that the limit counts for a request, so that a test can see the check of arrivals fail.
     pub fn scale_request_work(&mut self, factor: f64) {
         self.request_work_scale = factor;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -90,3 +90,36 @@
         rig.run_for_ms(50);
     });
 }
+
+/// Sends GETs of distinct objects to a cache that has just started, whose limit counts their work at this multiple. Returns
+/// the violations of starting that the checks have counted.
+fn slow_start_violations(work_scale: f64) -> u64 {
+    let mut settings = settings();
+    // A cold cache takes most of its keys, and may get fewer requests than other limits admit.
+    settings["obligations"]["start_capacity"] = json!(0.9);
+    settings["obligations"]["fall_multiple"] = json!(0.02);
+    let mut rig = DispatcherRig::with_settings(settings, DEFAULT_LIMITS);
+    rig.dispatcher.scale_request_work(work_scale);
+    rig.wait_for_poll();
+    let started = rig.host_line("cache-0", "active", 9_000_000_000_000);
+    let started = json!({"seq": 2, "fleet": {"endpoints": [started]}});
+    rig.answer_poll(&json!({"seq": 2, "results": [started]}).to_string());
+    rig.run_for_ms(20);
+    for number in 1..=240 {
+        let object = format!("{:016x}", u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        rig.send_get(number, "video", &[("HTTP_RESOURCE_KEY", &object)]);
+        if number % 30 == 0 {
+            rig.run_for_ms(5);
+        }
+    }
+    rig.run_for_ms(50);
+    rig.dispatcher.violations(Rule::Starting)
+}
+
+/// Guards against issue 54: the check of the limit on hosts in slow start used the limit's own estimate of a request's work, so
+/// that a wrong estimate was seen nowhere.
+#[test]
+fn a_limit_that_counts_too_little_work_is_seen_in_what_is_written() {
+    assert_eq!(slow_start_violations(1.0), 0, "the work is counted as it is");
+    assert!(slow_start_violations(0.01) > 0, "the work is counted at a hundredth");
+}
