Sending times that routing expects are not divided by a supposed slowness either

Cause: the same quotient that made the limit on cold hosts too loose made the expected sending time of an object, and of its service, too short under load, so that GETs were sent that would be late.

Change: part_sending_s and mean_sending_s take the time as observed. A forward no longer carries its slowness.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -691,7 +691,6 @@
             overdue_at,
             is_fill,
             origin_fraction,
-            slowness,
             is_withdrawn,
         });
         router.gets[index].forward_count += 1;
@@ -809,10 +808,7 @@
         let source_failed =
             matches!(outcome.note, Note::SourceRefused | Note::SourceBroke | Note::OriginFailed)
                 || !router.site.has_fill_notes && matches!(outcome.end, End::Errored | End::Full);
-        let (is_cold, slowness) = (
-            router.slow_start_fraction(sent.forward.host, now).is_some(),
-            router.slowness(sent.forward.host),
-        );
+        let is_cold = router.slow_start_fraction(sent.forward.host, now).is_some();
         let host = &mut router.hosts[sent.forward.host];
         host.link.in_flight = (host.link.in_flight - 1.0).max(0.0);
         if matches!(outcome.end, End::Returned | End::Miss | End::Full) || source_failed {
@@ -906,9 +902,9 @@
             router.last_returned.set(key, now);
         }
         if get.size_kb == 0.0 && is_returned && !outcome.is_unmodified {
-            // Parts of an object are alike: the time of one, without the wait and the effect of other transfers,
-            // predicts that of the others.
-            let observed_s = (elapsed_s - wait_s).max(1e-3) * 2.0 / (sent.slowness + slowness);
+            // Parts of an object are alike: the time of one, without the wait, predicts that of the others. It is not
+            // corrected by the load that this router supposes at the host.
+            let observed_s = (elapsed_s - wait_s).max(1e-3);
             let object = mix(get.object);
             let known_s = router.part_sending_s.get(object).filter(|&known_s| known_s < observed_s);
             router.part_sending_s.set(
@@ -920,9 +916,8 @@
             stats.mean_sending_s = moving_average(stats.mean_sending_s, observed_s, weight);
             // The wait that a joined fill reports may have begun before the forward.
             if outcome.note != Note::Joined {
-                let service_s = (elapsed_s - wait_s).max(1e-3);
-                stats.work.record(service_s);
-                stats.service_range.record(service_s);
+                stats.work.record(observed_s);
+                stats.service_range.record(observed_s);
             }
         }
         if is_hit && is_returned && get.size_kb > 0.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,8 +78,6 @@
     pub is_fill: bool,
     /// Fraction of a fill that the forward counts as at the origin, since its source may have to ask the origin.
     pub origin_fraction: f64,
-    /// Factor on the sending time at the host because of its load, as estimated when the forward was sent.
-    pub slowness: f64,
     pub is_withdrawn: bool,
 }
 
