Faults: crowds, signals in series, late lists, three cold caches; a stopped process runs on again

Cause: drawn schedules lacked idle clients and signals in series, and the cases lacked evidence of starts that comes late.

A stopped process is woken by its number.

--- a/crates/lab/src/faults/cases.rs
+++ b/crates/lab/src/faults/cases.rs
@@ -11,6 +11,7 @@
 /// The cache that dies.
 const CACHE: usize = 0;
 const SECOND_CACHE: usize = 1;
+const THIRD_CACHE: usize = 2;
 /// How long a killed dispatcher is away.
 const KILLED_FOR: Duration = Duration::from_millis(150);
 /// A step that an operator makes by hand or that a time service makes after a long loss, and one of a wrong time zone.
@@ -42,6 +43,8 @@
     Killed,
     /// All dispatchers are asked to end, one after another.
     Restarted,
+    /// A dispatcher is asked to end while it is stopped for 3 s, and runs on then.
+    RestartedFrozen,
     /// A third of the dispatchers is stopped from before the death until after the return.
     Frozen,
     /// The change log is silent from just before the death.
@@ -52,6 +55,14 @@
     Stalled,
     /// Two caches start cold at once.
     Two,
+    /// Three of the caches start cold at once, so that one is left that is warm.
+    Three,
+    /// The list tells of the start 2.5 s late.
+    ListLate,
+    /// The list tells of the start 6.5 s late.
+    ListVeryLate,
+    /// The cache is silent for 3 s, and a new process is there then.
+    SilentBack,
     /// The cache starts anew while it is cold.
     Again,
     /// All dispatchers move to another address of the change log while the cache is cold.
@@ -91,6 +102,10 @@
             }
         }
         Case::Restarted => add(back + ms(100), Fault::Restart { dispatchers: all }),
+        Case::RestartedFrozen => {
+            add(CRASH_AT, Fault::Freeze { dispatchers: vec![0], long: ms(3000) });
+            add(CRASH_AT + ms(2000), Fault::Restart { dispatchers: vec![0] });
+        }
         Case::Frozen => {
             add(CRASH_AT - ms(300), Fault::Freeze { dispatchers: third, long: ms(300) + AWAY + ms(4000) });
         }
@@ -101,6 +116,16 @@
         }
         Case::Stalled => add(back + ms(1500), Fault::StallCache { cache: CACHE, long: ms(1500) }),
         Case::Two => add(CRASH_AT, Fault::CrashCache { cache: SECOND_CACHE, away: AWAY }),
+        Case::Three => {
+            add(CRASH_AT, Fault::CrashCache { cache: SECOND_CACHE, away: AWAY });
+            add(CRASH_AT, Fault::CrashCache { cache: THIRD_CACHE, away: AWAY });
+        }
+        Case::ListLate => add(CRASH_AT - ms(200), Fault::SlowLog { late: ms(2500), long: ms(9000) }),
+        Case::ListVeryLate => add(CRASH_AT - ms(200), Fault::SlowLog { late: ms(6500), long: ms(14_000) }),
+        Case::SilentBack => {
+            let silent = Fault::CutLinks { cache: CACHE, dispatchers: all, long: ms(3000) };
+            add(CRASH_AT - ms(2800), silent);
+        }
         Case::Again => add(back + ms(2500), Fault::CrashCache { cache: CACHE, away: AWAY }),
         Case::Reloaded => add(back + ms(500), Fault::Reload { dispatchers: all }),
     }
--- a/crates/lab/src/faults/fleet.rs
+++ b/crates/lab/src/faults/fleet.rs
@@ -10,6 +10,7 @@
 use crate::stand::net::Net;
 use crate::stand::process::{self, Dispatcher, Told};
 use crate::stand::{asker, line_of_weight};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
@@ -24,6 +25,9 @@
 /// How often and at what pace it is looked whether a started process listens.
 const READY_LOOKS: u32 = 500;
 const READY_LOOKS_EVERY: Duration = Duration::from_millis(10);
+/// How often a dispatcher is asked to end, and how far apart.
+const TERM_SIGNALS: u32 = 3;
+const TERM_GAP: Duration = Duration::from_millis(20);
 /// Keeps the seeds of the dispatchers of different runs apart.
 const SEEDS_PER_RUN: u64 = 1000;
 
@@ -193,9 +197,13 @@
         const KILLED_AFTER: Duration = Duration::from_millis(3700);
         let mut dispatcher = self.dispatchers[index].lock().await;
         self.note_outage(index, KILLED_AFTER);
-        dispatcher.signal(rustix::process::Signal::TERM);
+        let asked_at = Instant::now();
+        for _ in 0..TERM_SIGNALS {
+            dispatcher.signal(Signal::TERM);
+            tokio::time::sleep(TERM_GAP).await;
+        }
         // A process that is stopped hears of the signal once it runs on.
-        let until = self.frozen_until(index).max(Instant::now()) + KILLED_AFTER;
+        let until = self.frozen_until(index).max(asked_at) + KILLED_AFTER;
         while !dispatcher.has_crashed() && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -206,13 +214,23 @@
         self.begin(index, &mut dispatcher).await
     }
 
+    /// Sends a signal to a dispatcher's process.
+    pub async fn signal_dispatcher(&self, index: usize, signal: Signal) {
+        self.dispatchers[index].lock().await.signal(signal);
+    }
+
     /// Stops a dispatcher's process for a while.
     pub async fn freeze_dispatcher(&self, index: usize, long: Duration) {
         self.note_outage(index, long);
         self.note_frozen(index, Instant::now() + long);
-        self.dispatchers[index].lock().await.signal(rustix::process::Signal::STOP);
+        let process = {
+            let dispatcher = self.dispatchers[index].lock().await;
+            dispatcher.signal(Signal::STOP);
+            dispatcher.id()
+        };
         tokio::time::sleep(long).await;
-        self.dispatchers[index].lock().await.signal(rustix::process::Signal::CONT);
+        // Who restarts it meanwhile holds the lock until it has ended, which it can't while it is stopped.
+        process::signal_id(process, Signal::CONT);
     }
 
     fn note_frozen(&self, dispatcher: usize, until: Instant) {
--- a/crates/lab/src/faults/schedule.rs
+++ b/crates/lab/src/faults/schedule.rs
@@ -5,10 +5,15 @@
 use crate::stand::fault_page::ClockShift;
 use crate::stand::ledger::{Named, unix_ms};
 use crate::stand::net::{Party, Way};
+use rustix::process::Signal;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+/// The signals of a series, in turn.
+const SERIES: [Signal; 2] = [Signal::HUP, Signal::USR1];
+
 /// One fault.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -20,12 +25,18 @@
     Kill { dispatchers: Vec<usize>, away: Duration },
     /// Dispatchers are asked to end, one after another, and started again.
     Restart { dispatchers: Vec<usize> },
+    /// Signals that ask for a reload and for the counters come to dispatchers in series.
+    Signals { dispatchers: Vec<usize>, count: u32, gap: Duration },
+    /// Clients that ask nothing hold connections to dispatchers.
+    Crowd { dispatchers: Vec<usize>, clients: usize, long: Duration },
     /// Dispatchers are stopped and run on later.
     Freeze { dispatchers: Vec<usize>, long: Duration },
     /// The wall clocks of dispatchers are stepped.
     StepClock { dispatchers: Vec<usize>, shift: ClockShift },
     /// The change log says nothing to anybody.
     SilenceLog { long: Duration },
+    /// The change log's answers come late by this much.
+    SlowLog { late: Duration, long: Duration },
     /// Connections between a cache and dispatchers are reset in the middle of answers.
     ResetLinks { cache: usize, dispatchers: Vec<usize>, long: Duration },
     /// Nothing passes from a cache to dispatchers.
@@ -78,6 +89,18 @@
                 fleet.restart_dispatcher(index).await?;
             }
         }
+        Fault::Signals { dispatchers, count, gap } => {
+            for number in 0..count {
+                for &index in &dispatchers {
+                    fleet.signal_dispatcher(index, SERIES[number as usize % SERIES.len()]).await;
+                }
+                tokio::time::sleep(gap).await;
+            }
+        }
+        Fault::Crowd { dispatchers, clients, long } => {
+            let _crowd = crowd(fleet, &dispatchers, clients).await;
+            tokio::time::sleep(long).await;
+        }
         Fault::Freeze { dispatchers, long } => {
             for_each(fleet, dispatchers, move |fleet, index| async move {
                 fleet.freeze_dispatcher(index, long).await;
@@ -94,6 +117,10 @@
             let all = 0..fleet.scale.dispatchers;
             impair(fleet, Party::ChangeLog, all.collect(), Way::Cut, long).await;
         }
+        Fault::SlowLog { late, long } => {
+            let all = 0..fleet.scale.dispatchers;
+            impair(fleet, Party::ChangeLog, all.collect(), Way::Slow(late), long).await;
+        }
         Fault::ResetLinks { cache, dispatchers, long } => {
             impair(fleet, Party::Host(cache), dispatchers, Way::Reset, long).await;
         }
@@ -119,6 +146,17 @@
     Ok(())
 }
 
+/// Connections on which nothing is asked. Those that a dispatcher does not take are left out.
+async fn crowd(fleet: &Fleet, dispatchers: &[usize], clients: usize) -> Vec<TcpStream> {
+    let mut connections = Vec::new();
+    for &index in dispatchers {
+        for _ in 0..clients {
+            connections.extend(TcpStream::connect(fleet.addresses[index]).await);
+        }
+    }
+    connections
+}
+
 /// Does the same with several dispatchers at once.
 async fn for_each<F, Done>(fleet: &Arc<Fleet>, dispatchers: Vec<usize>, does: F) -> Result<(), String>
 where
--- a/crates/lab/src/faults/soak.rs
+++ b/crates/lab/src/faults/soak.rs
@@ -27,6 +27,8 @@
 /// Multiple of its capacity under which a cold cache falls.
 const FALL_MULTIPLE: std::ops::Range<f64> = 0.75..3.0;
 const CACHES: usize = 4;
+/// Dispatchers to which idle clients come at once.
+const CROWDED_DISPATCHERS: usize = 3;
 /// Objects that a schedule purges.
 const PURGED: std::ops::Range<u64> = 0..200;
 
@@ -84,7 +86,7 @@
 fn fault(random: &mut fastrand::Rng, all: usize) -> Fault {
     let dispatchers = some(random, all);
     let cache = random.usize(0..CACHES);
-    match random.u32(0..13) {
+    match random.u32(0..16) {
         0 => Fault::CrashCache { cache, away: ms(random, 100..1200) },
         1 => Fault::StallCache { cache, long: ms(random, 300..1600) },
         2 => Fault::Kill { dispatchers, away: ms(random, 50..800) },
@@ -98,6 +100,11 @@
             Fault::Purge { objects: (0..20).map(|_| random.u64(PURGED)).collect(), gap: ms(random, 1..150) }
         }
         11 => Fault::Reload { dispatchers },
+        12 => Fault::Signals { dispatchers, count: random.u32(2..12), gap: ms(random, 1..150) },
+        13 => {
+            let dispatchers = dispatchers.into_iter().take(CROWDED_DISPATCHERS).collect();
+            Fault::Crowd { dispatchers, clients: random.usize(50..200), long: ms(random, 500..8000) }
+        }
         _ => fail_calls(random, dispatchers),
     }
 }
--- a/crates/lab/src/stand/process.rs
+++ b/crates/lab/src/stand/process.rs
@@ -261,8 +261,12 @@
 
 /// Sends a signal to a child process; nothing where there is none.
 pub fn signal_child(child: Option<&Child>, signal: Signal) {
-    let id = child.and_then(|child| Pid::from_raw(child.id() as i32));
-    if let Some(id) = id {
+    signal_id(child.map(Child::id), signal);
+}
+
+/// Sends a signal to the process of this number; nothing where there is none.
+pub fn signal_id(id: Option<u32>, signal: Signal) {
+    if let Some(id) = id.and_then(|id| Pid::from_raw(id as i32)) {
         let _ = kill_process(id, signal);
     }
 }
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn a_cold_cache_is_not_overloaded_as_dispatchers_end_and_start() {
-    holds("faults", &["told", "killed", "restarted", "reloaded"]);
+    holds("faults", &["told", "killed", "restarted", "restarted-frozen", "reloaded"]);
 }
 
 #[test]
@@ -59,3 +59,8 @@
 fn a_purge_counts_as_told_though_the_change_log_is_silent() {
     holds("faults", &["log-silent-purges"]);
 }
+
+#[test]
+fn a_cold_cache_is_not_overloaded_where_its_start_is_told_late_or_few_are_warm() {
+    holds("faults", &["three", "list-late", "list-very-late", "silent-back"]);
+}
