Slow start: a start is not dated to a connection that the list has covered

Cause: HostLifecycle::on_listed dated a new start to the connection that came up after the last observed end of the process, however old. A host that closes an idle connection leaves such an end behind; if its machine vanishes later without a word and is back, its start was as old as that connection and the host counted as warm.

Change: the connection dates the start only if the list, as known before the update, does not cover it; else the start counts from the update. Calls of on_listed in tests take the new argument, with the list not known, which is what they meant.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1012,7 +1012,8 @@
                 (true, _) => ListingContext::NewHost,
                 (false, _) => ListingContext::KnownHost,
             };
-            if host.lifecycle.on_listed(entry.start, context, self.now) && !is_new {
+            let list_known_until = router.time_reference.list_known_until;
+            if host.lifecycle.on_listed(entry.start, context, list_known_until, self.now) && !is_new {
                 // The process is new: the state that was learnt from the old one no longer applies.
                 (
                     host.recent_failures,
--- a/src/host_life.rs
+++ b/src/host_life.rs
@@ -108,9 +108,17 @@
     /// Takes the start that an entry of the host list reports. Returns whether it is another one than was known.
     ///
     /// A timestamp that is known already changes nothing, nor does one that claims no recent start. A reported start
-    /// was now at the latest, or before the connection came up that has existed since the previous process was
-    /// observed to end.
-    pub fn on_listed(&mut self, start: Start, context: ListingContext, now: Duration) -> bool {
+    /// was now at the latest. It was before the connection came up that has existed since the previous process was
+    /// observed to end, unless the list, known up to `list_known_until` before this update, covers that connection: it
+    /// is to an earlier process then.
+    pub fn on_listed(
+        &mut self,
+        start: Start,
+        context: ListingContext,
+        list_known_until: Duration,
+        now: Duration,
+    ) -> bool {
+        let connected_at = self.connected_at.filter(|&connected_at| list_known_until <= connected_at);
         let (start_unix_ms, listed_start) = match start {
             Start::At(at) => (0, at),
             Start::Claimed(StartClaim { unix_ms: 0, .. }) => return false,
@@ -118,7 +126,7 @@
             Start::Claimed(claim) if context != ListingContext::KnownHost && claim.age > MAX_CLOCK_STEP => {
                 (claim.unix_ms, ZERO)
             }
-            Start::Claimed(claim) => (claim.unix_ms, self.connected_at.unwrap_or(now)),
+            Start::Claimed(claim) => (claim.unix_ms, connected_at.unwrap_or(now)),
         };
         let is_another = start_unix_ms != 0 || self.listed_start < listed_start;
         (self.start_unix_ms, self.listed_start, self.is_from_initial_list) =
--- a/tests/host_life.rs
+++ b/tests/host_life.rs
@@ -40,10 +40,10 @@
     for age in [ZERO, seconds(5), seconds(30), seconds(7200)] {
         let mut lifecycle = HostLifecycle::default();
         assert!(
-            !lifecycle.on_listed(claim(0, NOW), ListingContext::InitialList, seconds(100)),
+            !lifecycle.on_listed(claim(0, NOW), ListingContext::InitialList, ZERO, seconds(100)),
             "an entry without a late start reports no new process"
         );
-        assert!(lifecycle.on_listed(claim(77, age), ListingContext::KnownHost, NOW));
+        assert!(lifecycle.on_listed(claim(77, age), ListingContext::KnownHost, ZERO, NOW));
         assert_eq!(
             process_start_at(&lifecycle, LIST_CURRENT, NOW + seconds(3)),
             observed_start(NOW, seconds(3))
@@ -57,7 +57,7 @@
         [(seconds(2), NOW), (seconds(7200), NOW), (MAX_CLOCK_STEP + seconds(1), ZERO)]
     {
         let mut lifecycle = HostLifecycle::default();
-        lifecycle.on_listed(claim(77, age), ListingContext::InitialList, NOW);
+        lifecycle.on_listed(claim(77, age), ListingContext::InitialList, ZERO, NOW);
         assert_eq!(
             process_start_at(&lifecycle, LIST_CURRENT, NOW).at,
             expected_start,
@@ -69,18 +69,18 @@
 #[test]
 fn a_known_timestamp_reports_no_new_start_and_an_earlier_one_does() {
     let mut lifecycle = HostLifecycle::default();
-    lifecycle.on_listed(claim(77, ZERO), ListingContext::KnownHost, NOW);
+    lifecycle.on_listed(claim(77, ZERO), ListingContext::KnownHost, ZERO, NOW);
     assert!(
-        !lifecycle.on_listed(claim(77, seconds(9)), ListingContext::KnownHost, NOW + seconds(4)),
+        !lifecycle.on_listed(claim(77, seconds(9)), ListingContext::KnownHost, ZERO, NOW + seconds(4)),
         "the entry was repeated"
     );
     assert!(
-        !lifecycle.on_listed(claim(0, ZERO), ListingContext::KnownHost, NOW + seconds(4)),
+        !lifecycle.on_listed(claim(0, ZERO), ListingContext::KnownHost, ZERO, NOW + seconds(4)),
         "the entry reports no late start"
     );
     assert_eq!(process_start_at(&lifecycle, LIST_CURRENT, NOW + seconds(4)).age, seconds(4));
     assert!(
-        lifecycle.on_listed(claim(50, seconds(40)), ListingContext::KnownHost, NOW + seconds(5)),
+        lifecycle.on_listed(claim(50, seconds(40)), ListingContext::KnownHost, ZERO, NOW + seconds(5)),
         "the clock of the reporting machine was stepped back"
     );
     assert_eq!(process_start_at(&lifecycle, LIST_CURRENT, NOW + seconds(5)).age, ZERO);
@@ -125,14 +125,14 @@
     let mut lifecycle = HostLifecycle::default();
     lifecycle.on_ended(NOW, EndEvidence::DialRefused);
     lifecycle.on_connected(NOW + seconds(1));
-    assert!(lifecycle.on_listed(claim(77, seconds(11)), ListingContext::KnownHost, NOW + seconds(12)));
+    assert!(lifecycle.on_listed(claim(77, seconds(11)), ListingContext::KnownHost, ZERO, NOW + seconds(12)));
     let list_known = NOW + seconds(12);
     assert_eq!(
         process_start_at(&lifecycle, list_known, NOW + seconds(12)),
         observed_start(NOW + seconds(1), seconds(11))
     );
     assert!(
-        lifecycle.on_listed(claim(78, ZERO), ListingContext::KnownHost, NOW + seconds(13)),
+        lifecycle.on_listed(claim(78, ZERO), ListingContext::KnownHost, ZERO, NOW + seconds(13)),
         "the process starts once more"
     );
     assert_eq!(
@@ -167,6 +167,7 @@
         lifecycle.on_listed(
             claim(START_UNIX.as_millis() as u64, seconds(7200)),
             ListingContext::InitialList,
+            ZERO,
             NOW,
         );
         assert_eq!(
@@ -182,7 +183,7 @@
     let reference = TimeReference { list_known_until: NOW, unix_offset: NOW_UNIX - NOW };
     for context in [ListingContext::NewHost, ListingContext::KnownHost] {
         let mut lifecycle = HostLifecycle::default();
-        lifecycle.on_listed(claim(START_UNIX.as_millis() as u64, seconds(40)), context, NOW);
+        lifecycle.on_listed(claim(START_UNIX.as_millis() as u64, seconds(40)), context, ZERO, NOW);
         assert_eq!(lifecycle.process_start(ZERO, &reference, NOW).age, ZERO);
     }
 }
@@ -227,3 +228,15 @@
         "the observed end was an earlier, unrelated one"
     );
 }
+
+/// Guards against a host that vanishes without a word and comes back cold: an old connection, made after an end that nothing
+/// followed, made its start as old as that connection, so that it counted as warm.
+#[test]
+fn a_start_is_not_dated_to_a_connection_that_the_list_has_covered() {
+    let mut lifecycle = HostLifecycle::default();
+    lifecycle.on_ended(NOW, EndEvidence::ConnectionsEnded);
+    lifecycle.on_connected(NOW + seconds(1));
+    let (list_known, listed_at) = (NOW + seconds(59), NOW + seconds(60));
+    assert!(lifecycle.on_listed(claim(77, ZERO), ListingContext::KnownHost, list_known, listed_at));
+    assert_eq!(process_start_at(&lifecycle, listed_at, listed_at), observed_start(listed_at, ZERO));
+}
--- a/tests/slow_start_bound.rs
+++ b/tests/slow_start_bound.rs
@@ -6,6 +6,7 @@
 
 use common::{host_entry, ms, settings};
 use myrtlegauge::decide::Router;
+use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::*;
 use serde_json::json;
 use std::collections::VecDeque;
@@ -54,6 +55,8 @@
     unmodified: f64,
     /// All routers are replaced by new ones, without any state, this long after the cache has started.
     restarts_after: Option<Duration>,
+    /// The cache's machine vanishes without a word instead, after it had closed an idle connection long before.
+    vanishes: bool,
     overload_factor: f64,
     initial_fraction: f64,
     slow_start: Duration,
@@ -74,6 +77,7 @@
             work_sigma: 1.2 * rng.f64(),
             unmodified: if rng.f64() < 0.3 { 0.5 * rng.f64() } else { 0.0 },
             restarts_after: (rng.f64() < 0.3).then(|| Duration::from_secs_f64(2.0 * rng.f64())),
+            vanishes: rng.f64() < 0.3,
             overload_factor: [0.75, 1.0, 2.0, 4.0][rng.usize(0..4)],
             initial_fraction: 0.1 + 0.4 * rng.f64(),
             slow_start: Duration::from_secs_f64(6.0 + 11.0 * rng.f64()),
@@ -223,14 +227,16 @@
             let attempt = request.attempts;
             request.attempts += 1;
             let Request { service, work_s, .. } = *request;
-            if forward.host == STARTED && self.is_down {
+            if forward.host == STARTED && self.is_down && !self.plan.vanishes {
                 resets.push((get, attempt));
                 continue;
             }
             if forward.host == STARTED && self.started_at.is_some() {
                 self.arrivals.push((self.now, self.plan.mean_work_s[service]));
             }
-            let transfer = Transfer { router: index, get, attempt, sent_at: self.now, remaining_s: work_s };
+            let is_lost = forward.host == STARTED && self.is_down;
+            let remaining_s = if is_lost { f64::INFINITY } else { work_s };
+            let transfer = Transfer { router: index, get, attempt, sent_at: self.now, remaining_s };
             self.transfers[forward.host].push(transfer);
         }
         for (get, attempt) in resets {
@@ -312,9 +318,24 @@
         }
     }
 
+    /// The cache closes the only connection of each router while the list is up to date, and another one comes up.
+    fn close_idle_connections(&mut self) {
+        let now = self.now;
+        for router in 0..self.plan.routers {
+            self.round(router, |round| {
+                round.on_process_ended(STARTED, now, EndEvidence::ConnectionsEnded);
+                round.on_connected(STARTED);
+            });
+        }
+    }
+
     /// The process of the cache ends: what it works on is reset.
     fn end_process(&mut self) {
         self.is_down = true;
+        if self.plan.vanishes {
+            let lost = &mut self.transfers[STARTED];
+            return lost.iter_mut().for_each(|transfer| transfer.remaining_s = f64::INFINITY);
+        }
         for transfer in std::mem::take(&mut self.transfers[STARTED]) {
             let elapsed = self.now - transfer.sent_at;
             self.end(transfer.router, transfer.get, transfer.attempt, End::Reset, elapsed);
@@ -324,7 +345,9 @@
     /// The cache is back, cold, and all routers are told.
     fn start_process(&mut self) {
         (self.is_down, self.started_at) = (false, Some(self.now));
-        let started = entry(STARTED, self.plan.weight, Start::At(self.now));
+        let claim = StartClaim { unix_ms: self.now.as_millis() as u64, age: Duration::ZERO };
+        let start = if self.plan.vanishes { Start::Claimed(claim) } else { Start::At(self.now) };
+        let started = entry(STARTED, self.plan.weight, start);
         for router in 0..self.plan.routers {
             self.round(router, |round| round.on_host_list(ListUpdate::Changes, &[started]));
         }
@@ -344,6 +367,9 @@
         let mut due = 0.0;
         for step in 0..steps {
             self.now = EPOCH + STEP * step;
+            if self.plan.vanishes && step == 1 {
+                self.close_idle_connections();
+            }
             if step == ENDS_AT.div_duration_f64(STEP) as u32 {
                 self.end_process();
             }
@@ -361,7 +387,13 @@
                 self.request();
             }
             if step % STEPS_PER_WAKEUP == 0 {
-                (0..self.plan.routers).for_each(|router| self.round(router, |round| round.on_wakeup()));
+                let now = self.now;
+                (0..self.plan.routers).for_each(|router| {
+                    self.round(router, |round| {
+                        round.on_list_known(now);
+                        round.on_wakeup();
+                    });
+                });
             }
         }
         self.worst_fraction()
@@ -418,6 +450,7 @@
         work_sigma: 0.0,
         unmodified: 0.0,
         restarts_after: None,
+        vanishes: false,
         overload_factor: 2.0,
         initial_fraction: 0.22,
         slow_start: Duration::from_secs(10),
@@ -429,6 +462,13 @@
     }));
 }
 
+/// Guards against a cache whose machine vanishes and comes back cold: an old connection made its start as old as itself.
+#[test]
+fn a_cold_cache_that_had_vanished_is_not_overloaded() {
+    let drawn = (0..12).map(Plan::draw);
+    assert_within_bound(drawn.map(|plan| Plan { vanishes: true, restarts_after: None, ..plan }));
+}
+
 /// Seeds that CI plays; more are played with `SLOW_START_SEEDS`.
 const SEEDS: u64 = 24;
 
