Check of written requests: say what it shares with the limit

It also dates a start by the observed end of the process before, and takes the count of routers as told at the start.

--- a/crates/dispatcher/src/routing/slow_start_check.rs
+++ b/crates/dispatcher/src/routing/slow_start_check.rs
@@ -1,5 +1,6 @@
 //! Check of the rule on hosts in slow start, counted from what is written to sockets. It takes starts from the lines of
-//! the host list and the work of a request from the replies, and shares nothing with the limit but the settings.
+//! the host list and the work of a request from the replies. With the limit it shares the settings, as they were at the
+//! start, and the observed ends of processes.
 
 use super::guards::Rule;
 use super::proxy::Proxy;
