--- a/review/stand/purge.rs
+++ b/review/stand/purge.rs
@@ -18,6 +18,10 @@
 const LATE: Duration = Duration::from_millis(1000);
 /// The settings' `obey_after_ms`, and the 50 ms by which every limit is longer on sockets.
 const OBEY_MS: u64 = 500 + 50;
+/// A cache that is drained right after the purge: not judged here, but seen.
+const DRAINED: usize = 2;
+const TOLD_AT_LATEST_MS: u64 = 7000;
+const DRAIN_GRACE_MS: u64 = 1000 + 50;
 /// What a change log in trouble would have told counts as told this long after the end of the requested wait.
 const TOLD_AFTER_WAIT_MS: u64 = 2000;
 
@@ -72,7 +76,18 @@
     world.lock().unwrap().purged_at = Some(at);
     let number = change_log.add(purge(GROUP, at));
     record.say(&format!("group {GROUP} is purged; event {number} is in the change log"));
-    std::thread::sleep(ms(7000));
+    let drained_at = Instant::now();
+    change_log.add(fleet(2, false, &[line(DRAINED, "leaving")]));
+    let is_over = Duration::from_millis(TOLD_AT_LATEST_MS + DRAIN_GRACE_MS);
+    std::thread::sleep(is_over);
+    let before = world.lock().unwrap().arrivals[DRAINED];
+    std::thread::sleep(ms(1500));
+    let at_drained = world.lock().unwrap().arrivals[DRAINED] - before;
+    record.say(&format!(
+        "not judged: {at_drained} requests came to a draining cache from {} to {} ms after its event",
+        is_over.as_millis(),
+        drained_at.elapsed().as_millis()
+    ));
     clients.stop();
     threads.into_iter().for_each(|thread| thread.join().unwrap());
     let ended = dispatcher.has_ended();
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -620,6 +620,8 @@
     pub fresh_ms: HashMap<String, u64>,
     /// Requests answered from a copy older than the purge: how long after it they arrived, ms.
     pub old_after: Vec<u64>,
+    /// Requests that came to each host.
+    pub arrivals: Vec<u64>,
     record: Arc<Record>,
 }
 
@@ -629,6 +631,7 @@
 impl World {
     pub fn new(names: Vec<String>, record: &Arc<Record>) -> Arc<Mutex<Self>> {
         Arc::new(Mutex::new(Self {
+            arrivals: vec![0; names.len()],
             names,
             copies: HashMap::new(),
             purged_at: None,
@@ -669,6 +672,7 @@
     }
 
     pub fn answer(&mut self, request: &Serve) -> Reply {
+        self.arrivals[request.host] += 1;
         let (now, field) = (unix_ms(), |name: &str| request.fields.get(name).cloned().unwrap_or_default());
         let (lane, object, part) = (field("lane"), field("name"), field("piece"));
         if lane == "delivery-confirm" {
