--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Case 3. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+case_dir=$(cd "$(dirname "$0")" && pwd)
+root=$case_dir/../..
+[ -x "$root/target/release/myrtlegauge" ] && [ -x "$root/target/review/outage" ] || {
+    echo "build first: the deploy file's build, then review/build.sh"
+    exit 2
+}
+"$root/target/review/outage" "$case_dir"
+code=$?
+[ $code -eq 0 ] || [ $code -eq 1 ] || exit 2
+exit $code
