Review: cases end with exit code 2 if they panic, and leave no process if ended

Cause: a case that is ended from outside left its program running; the shell mapped exit codes. Result: each case once more: exit 1, with TROUBLE=0 exit 0; run.sh of case 1 ended by SIGTERM leaves no process.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,4 @@
     echo "build first: the deploy file's build, then review/build.sh"
     exit 2
 }
-"$root/target/review/outage" "$case_dir"
-code=$?
-[ $code -eq 0 ] || [ $code -eq 1 ] || exit 2
-exit $code
+exec "$root/target/review/outage" "$case_dir"
--- a/review/stand/outage.rs
+++ b/review/stand/outage.rs
@@ -32,7 +32,7 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    std::process::exit(run(&PathBuf::from(&arguments[1])));
+    exit_with(|| run(&PathBuf::from(&arguments[1])));
 }
 
 fn zone_name(zone: usize) -> String {
--- a/review/stand/purge.rs
+++ b/review/stand/purge.rs
@@ -27,7 +27,7 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    std::process::exit(run(&PathBuf::from(&arguments[1]), &arguments[2]));
+    exit_with(|| run(&PathBuf::from(&arguments[1]), &arguments[2]));
 }
 
 fn run(case_dir: &Path, trouble: &str) -> i32 {
--- a/review/stand/release.rs
+++ b/review/stand/release.rs
@@ -76,9 +76,7 @@
     if arguments.get(1).is_some_and(|word| word == "hosts") {
         return run_hosts(arguments[2].parse().unwrap());
     }
-    let case_dir = PathBuf::from(&arguments[1]);
-    let code = run(&case_dir);
-    std::process::exit(code);
+    exit_with(|| run(&PathBuf::from(&arguments[1])));
 }
 
 fn run(case_dir: &std::path::Path) -> i32 {
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -61,6 +61,11 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
+/// Runs a case and ends the process with its exit code. A case that panics could not run.
+pub fn exit_with(run: impl FnOnce() -> i32 + std::panic::UnwindSafe) -> ! {
+    std::process::exit(std::panic::catch_unwind(run).unwrap_or(COULD_NOT_RUN))
+}
+
 /// Ends the whole case after this time with the exit code for a case that could not run. The processes that it started
 /// end with it.
 pub fn limit_run_time(limit: Duration) {
