Purges: copies older than an unanswered poll of the change log are refused

Cause: purges_unknown_since was set by a pause of the process alone. While polls went unanswered, by whatever cause, nothing doubted the copies.

Change: src/purge_news.rs (in the deploy file's policy) derives from sent, answered and lost polls up to when purges may be in force that were not received; older copies are refused until a whole answer has come. Forwards that wait for their connection are limited too; those queued unsent are decided again. The client reports polls that were sent and lost.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -25,6 +25,7 @@
 pub use guards::{Guards, Rule};
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListUpdate, PurgeKey, Settings};
+use myrtlegauge::purge_news::PurgeNews;
 use myrtlegauge_membership::driver::{self, Member};
 pub use myrtlegauge_replication::SubscriberDefences;
 use myrtlegauge_replication::{HostLine, Purge, PurgeTarget};
@@ -111,10 +112,12 @@
         let listener = Listener::bind(&event_loop, startup.listen, EventSource::Listener, &resource_usage)
             .map_err(|e| format!("can't listen on {}: {e}", startup.listen))?;
         let change_log = ChangeLogClient::new(startup.change_log, EventSource::ChangeLog);
+        let clock = Clock::start();
         let components = (
             Codec::new(startup.settings)?,
             HostRegistry::new(startup.settings)?,
             proxy::ConnectionLimits::read(startup.settings),
+            PurgeNews::new(startup.settings, clock.now()),
         );
         let zone_channel = startup.zones.take();
         let (zone_event_loop, member_event_loop) = (event_loop.clone(), event_loop.clone());
@@ -125,7 +128,7 @@
             change_log,
             components,
             startup.resource_limits,
-            Clock::start(),
+            clock,
         );
         (proxy.guards, proxy.effects) = (startup.guards, Effect::read_all(startup.settings));
         proxy.written_requests = WrittenRequests::new(&router, startup.settings, proxy.limits.objectives());
@@ -213,6 +216,7 @@
                 }
                 round.sink().cancel_outdated_forwards();
                 round.sink().update_purge_uncertainty();
+                round.sink().update_unknown_purges();
                 let purges_unknown_since = round.sink().purges_unknown_since;
                 round.set_purges_unknown_since(purges_unknown_since);
                 let list_known = round.sink().list_known;
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use myrtlegauge::host_life::{EndEvidence, is_to_new_process};
 use myrtlegauge::interface::{End, HostEntry, HostIndex, HostStatus, PurgeKey};
-use myrtlegauge_wire::change_log_client::SequenceCheck;
+use myrtlegauge::snapshot;
+use myrtlegauge_wire::change_log_client::{LostPoll, SentPollTimes, SequenceCheck};
 use myrtlegauge_wire::protocol::StreamError;
 use myrtlegauge_wire::protocol::changelog::Endpoint;
 use myrtlegauge_wire::protocol::changelog_answer::AnswerPart;
@@ -19,6 +20,8 @@
 /// The shortest gap between two event loop iterations that counts as a pause of the process. The loop wakes up many
 /// times a second. The value is below any grace on purges.
 const MIN_PAUSE: Duration = Duration::from_millis(750);
+/// Unit of the accepted ages that are sent to hosts.
+const COPY_AGE_RESOLUTION: Duration = Duration::from_millis(1);
 /// A removed host's slot is released this long after the longest client wait, for forwards that end at that time.
 const RELEASE_MARGIN: Duration = Duration::from_millis(1000);
 
@@ -29,6 +32,7 @@
         let Some(replicas) = replicas else {
             let has_failed = self.change_log.poll_if_due(&self.event_loop, &self.resource_usage, self.now);
             self.counters.polls_failed += u64::from(has_failed);
+            self.record_polls();
             return;
         };
         let errors: Vec<_> =
@@ -40,6 +44,50 @@
         }
     }
 
+    /// Records which polls were lost and sent since the last call.
+    fn record_polls(&mut self) {
+        if let Some(LostPoll { sent_at, lost_at }) = self.change_log.take_lost() {
+            self.purge_news.on_poll_lost(sent_at, lost_at);
+        }
+        if let Some(SentPollTimes { sent_at, answer_due_at }) = self.change_log.take_sent() {
+            self.purge_news.on_poll_sent(sent_at, answer_due_at);
+        }
+    }
+
+    /// If the change log is polled, updates up to when purges may be in force that were not received. When that time
+    /// advances, forwards that were not sent do not accept older copies any more.
+    pub fn update_unknown_purges(&mut self) {
+        if self.replicas.is_some() {
+            return;
+        }
+        let known =
+            std::mem::replace(&mut self.purges_unknown_since, self.purge_news.in_force_until(self.now));
+        if let Some(until) = self.purges_unknown_since.filter(|&until| Some(until) > known) {
+            self.refuse_copies_before(until);
+        }
+    }
+
+    /// Limits the accepted age of the forwards that wait for their connection, and cancels those that accept older
+    /// copies and wait to be written.
+    fn refuse_copies_before(&mut self, until: Duration) {
+        let (now, resolution) = (self.now, COPY_AGE_RESOLUTION);
+        let limited = |age: Duration| snapshot::max_accepted_age(age, Some(until), now, resolution);
+        for (_, link) in self.links.iter_mut() {
+            for &get_index in &link.in_flight_gets {
+                let forward = self.in_flight.get_mut(get_index).forward.as_mut();
+                if let Some(forward) =
+                    forward.filter(|forward| forward.message.is_none() && !forward.decision.is_write())
+                {
+                    forward.decision.accepted_age = limited(forward.decision.accepted_age);
+                }
+            }
+        }
+        self.cancel_unsent_forwards(|_, forward| {
+            let decision = &forward.decision;
+            !decision.is_write() && limited(decision.accepted_age) != decision.accepted_age
+        });
+    }
+
     /// When the next poll is due, or the current one times out.
     pub fn poll_deadline(&self) -> Duration {
         self.replicas.as_ref().map_or(self.change_log.deadline, |replicas| replicas.deadline(self.now))
@@ -125,12 +173,11 @@
 
     /// Handles the end of an answer, of which all changes are applied.
     pub fn on_poll_answered(&mut self) {
-        self.list_known = self.change_log.polled_at();
-        if self.purges_unknown_since.is_none_or(|resumed_at| self.change_log.polled_at() >= resumed_at) {
-            self.purges_unknown_since = None;
-            if self.startup.log_synced(self.now) {
-                self.log_startup_step("whole");
-            }
+        let polled_at = self.change_log.polled_at();
+        self.list_known = self.list_known.max(polled_at);
+        self.purge_news.on_poll_answered(polled_at);
+        if !self.purge_news.is_resync_pending() && self.startup.log_synced(self.now) {
+            self.log_startup_step("whole");
         }
         let last_seq = self.change_log.last_seq;
         if std::mem::replace(&mut self.last_answered_seq, last_seq) == last_seq {
@@ -151,7 +198,7 @@
             log::warn!(gap_ms;
                 "process was paused; not accepting older cached copies until the change log has answered");
             if self.replicas.is_none() {
-                self.purges_unknown_since = Some(now);
+                self.purge_news.on_resumed(now);
                 self.change_log.poll_immediately(now);
             }
             self.mark_processes_unobserved(last_active);
@@ -180,7 +227,11 @@
     /// Handles a connection ended by the host, or a refused connection attempt. If no other connection is
     /// established, the host's process may have ended.
     pub fn on_link_lost(&mut self, host: HostIndex, evidence: EndEvidence) {
-        let is_unobserved = evidence == EndEvidence::ConnectionsEnded && self.purges_unknown_since.is_some();
+        let is_out_of_sync = match self.replicas {
+            Some(_) => self.purges_unknown_since.is_some(),
+            None => self.purge_news.is_resync_pending(),
+        };
+        let is_unobserved = evidence == EndEvidence::ConnectionsEnded && is_out_of_sync;
         let evidence = if is_unobserved { EndEvidence::Unobserved } else { evidence };
         if !self.has_live_link(host) {
             self.record_process_end(host, self.now, evidence);
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -16,6 +16,7 @@
 use bytes::BytesMut;
 use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::{End, Get, GetIndex, HostIndex, Note, Settings, duration_from_ms};
+use myrtlegauge::purge_news::PurgeNews;
 use myrtlegauge::settings::{self, flag, number};
 use myrtlegauge_recovery::{LossCause, StartupTimeline};
 use myrtlegauge_wire::change_log_client::ChangeLogClient;
@@ -193,8 +194,10 @@
     origin_log_due_at: Duration,
     pub slow_start_log: SlowStartLog,
     pub written_requests: WrittenRequests,
-    /// Since when purges may have been missed and the host list may be outdated, after the process was paused or, with
-    /// replicas, while none answers.
+    /// Which purges were received, from the polls of the change log.
+    pub purge_news: PurgeNews,
+    /// The time up to which purges may be in force that were not received: after the process was paused, while the
+    /// change log is silent or late or, with replicas, while none answers.
     pub purges_unknown_since: Option<Duration>,
     /// Times from the start of this process to readiness and to full service.
     pub startup: StartupTimeline,
@@ -289,7 +292,7 @@
         listener: Listener<Dispatcher>,
         resource_usage: Rc<ResourceUsage>,
         change_log: ChangeLogClient<Dispatcher>,
-        (codec, host_registry, limits): (Codec, HostRegistry, ConnectionLimits),
+        (codec, host_registry, limits, purge_news): (Codec, HostRegistry, ConnectionLimits, PurgeNews),
         resource_limits: ResourceLimits,
         clock: Clock,
     ) -> Self {
@@ -351,6 +354,7 @@
             origin_log_due_at: Duration::ZERO,
             slow_start_log: SlowStartLog::default(),
             written_requests: WrittenRequests::default(),
+            purge_news,
             purges_unknown_since: None,
             startup: StartupTimeline::start(clock.now()),
             zones: None,
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -54,6 +54,9 @@
     /// A poll is outstanding.
     is_pending: bool,
     polled_at: Duration,
+    /// The poll sent and the poll lost since these were last taken.
+    newly_sent: Option<SentPollTimes>,
+    newly_lost: Option<LostPoll>,
     /// When [`ChangeLogClient::poll_if_due`] has to act next: to time out, to reconnect or to poll again.
     pub deadline: Duration,
     /// The sequence number of the last accepted event.
@@ -68,6 +71,21 @@
     polls_immediately: bool,
 }
 
+/// A poll that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentPollTimes {
+    pub sent_at: Duration,
+    /// When its answer is due if there are no events.
+    pub answer_due_at: Duration,
+}
+
+/// A poll whose connection was lost while it was outstanding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostPoll {
+    pub sent_at: Duration,
+    pub lost_at: Duration,
+}
+
 /// Result of checking the sequence number of an event against the last accepted one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SequenceCheck {
@@ -95,6 +113,8 @@
             answer_timeout: MIN_ANSWER_TIMEOUT,
             is_pending: false,
             polled_at: Duration::ZERO,
+            newly_sent: None,
+            newly_lost: None,
             deadline: Duration::ZERO,
             last_seq: 0,
             has_overlap: false,
@@ -181,9 +201,20 @@
             self.disconnect(now);
             return true;
         }
+        self.newly_sent = Some(SentPollTimes { sent_at: now, answer_due_at: now + wait });
         is_overdue
     }
 
+    /// The last poll that was sent since the last call.
+    pub fn take_sent(&mut self) -> Option<SentPollTimes> {
+        self.newly_sent.take()
+    }
+
+    /// The last poll that was lost since the last call. Overdue polls are not among these.
+    pub fn take_lost(&mut self) -> Option<LostPoll> {
+        self.newly_lost.take()
+    }
+
     /// Keeps the outstanding poll as an overdue one, so that another can be sent.
     fn set_poll_aside(&mut self, now: Duration) {
         self.answer_timeout = (self.answer_timeout * 2).min(MAX_ANSWER_TIMEOUT);
@@ -233,6 +264,9 @@
     /// Closes the current connection and the pending attempts, and schedules the next attempt after a pause. Overdue
     /// polls are kept.
     pub fn disconnect(&mut self, now: Duration) {
+        if self.is_pending {
+            self.newly_lost = Some(LostPoll { sent_at: self.polled_at, lost_at: now });
+        }
         self.connection = None;
         self.connect_attempts.clear();
         self.has_connect_failed = false;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -207,6 +207,13 @@
     pub start_deadline: Duration,
 }
 
+impl Forward {
+    /// Whether the GET is a write, which the origin runs and of which no copy is kept.
+    pub fn is_write(&self) -> bool {
+        self.retention_rank == 0
+    }
+}
+
 /// Receives the decisions, in order.
 pub trait DecisionSink {
     /// Sends a forward for this GET.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod host_life;
 mod host_list;
 pub mod interface;
+pub mod purge_news;
 mod ring;
 pub mod settings;
 mod site_settings;
--- /dev/null
+++ b/src/purge_news.rs
@@ -0,0 +1,121 @@
+//! Purges that may be in force without having been received, because the change log is silent, slow or down. Copies
+//! that such a purge could forbid are not accepted.
+//!
+//! A purge counts as known once it is in the change log and the router has polled for it, also if the answer is late.
+//! If the poll's connection is lost, it counts as known somewhat later, and in any case after `MAX_TIME_TO_KNOWN`. It
+//! is in force one grace period after that.
+
+use crate::settings::{self, Settings};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time from when an answer is due until the poll counts as unanswered. It covers the network's and both programs'
+/// delays while the change log is sound.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// A purge that a lost poll would have told counts as known this long after the loss.
+const TIME_TO_KNOWN_AFTER_LOSS: Duration = Duration::from_millis(2000);
+/// A purge counts as known after this long, however it fares.
+const MAX_TIME_TO_KNOWN: Duration = Duration::from_millis(7000);
+
+/// Purges up to a time that were not received, and when they are in force at the earliest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct UnknownPurges {
+    until: Duration,
+    in_force_from: Duration,
+    cause: Cause,
+}
+
+/// Why purges up to a time are unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// The poll sent at that time is not answered yet.
+    PollUnanswered,
+    /// A poll was lost at that time.
+    PollLost,
+    /// The process did not run until then.
+    Pause,
+}
+
+/// Which purges are known, from the polls of the change log and their answers.
+#[derive(Clone, Debug)]
+pub struct PurgeNews {
+    /// Time within which a known purge must be obeyed.
+    grace: Duration,
+    /// After this long, no cache holds a copy that a purge forbids.
+    max_copy_lifetime: Duration,
+    /// All purges up to this time were received.
+    known_until: Duration,
+    /// Since this time the process runs again after a pause.
+    resumed_at: Duration,
+    /// Ordered by time.
+    unknown: VecDeque<UnknownPurges>,
+}
+
+impl PurgeNews {
+    /// Creates the state of a router that was started at `now` with all purges until then.
+    pub fn new(settings: &Settings, now: Duration) -> Self {
+        Self {
+            grace: settings::duration(settings, "domain.obey_after_ms").unwrap_or_default(),
+            max_copy_lifetime: settings::duration(settings, "domain.gone_everywhere_ms")
+                .unwrap_or(Duration::MAX),
+            known_until: now,
+            resumed_at: Duration::ZERO,
+            unknown: VecDeque::new(),
+        }
+    }
+
+    /// A poll was sent, whose answer is due at a time if there are no events.
+    pub fn on_poll_sent(&mut self, sent_at: Duration, answer_due_at: Duration) {
+        let in_force_from = answer_due_at.max(sent_at + self.grace) + ANSWER_MARGIN;
+        self.unknown.push_back(UnknownPurges { until: sent_at, in_force_from, cause: Cause::PollUnanswered });
+    }
+
+    /// A poll was answered in whole: all purges until it was sent were received.
+    pub fn on_poll_answered(&mut self, sent_at: Duration) {
+        self.known_until = self.known_until.max(sent_at);
+        self.unknown.retain(|unknown| unknown.until > sent_at);
+    }
+
+    /// The connection of an outstanding poll was lost.
+    pub fn on_poll_lost(&mut self, sent_at: Duration, lost_at: Duration) {
+        // A poll that has been unanswered for long stays so: what was known before it may have been dropped for it.
+        let is_replaced = |unknown: &UnknownPurges| {
+            unknown.cause == Cause::PollUnanswered
+                && unknown.until == sent_at
+                && unknown.in_force_from > lost_at
+        };
+        self.unknown.retain(|unknown| !is_replaced(unknown));
+        let in_force_from = lost_at + TIME_TO_KNOWN_AFTER_LOSS + self.grace;
+        self.unknown.push_back(UnknownPurges { until: lost_at, in_force_from, cause: Cause::PollLost });
+    }
+
+    /// The process runs again after a pause, in which purges may have come into force.
+    pub fn on_resumed(&mut self, now: Duration) {
+        self.resumed_at = now;
+        self.unknown.push_back(UnknownPurges { until: now, in_force_from: now, cause: Cause::Pause });
+    }
+
+    /// Whether no poll that was sent after the last pause has been answered yet.
+    pub fn is_resync_pending(&self) -> bool {
+        self.known_until < self.resumed_at
+    }
+
+    /// Time since which all purges were received.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.known_until)
+    }
+
+    /// The time up to which purges may be in force that were not received; `None` if there is none that a cached copy
+    /// could contradict.
+    pub fn in_force_until(&mut self, now: Duration) -> Option<Duration> {
+        if let Some(newest) = self.unknown.iter().rposition(|unknown| unknown.in_force_from <= now) {
+            self.unknown.drain(..newest);
+        }
+        let polled_until =
+            self.unknown.front().filter(|unknown| unknown.in_force_from <= now).map(|unknown| unknown.until);
+        let unpolled_until =
+            now.checked_sub(MAX_TIME_TO_KNOWN + self.grace).filter(|&until| until > self.known_until);
+        let until = polled_until.max(unpolled_until)?;
+        (now < until.saturating_add(self.max_copy_lifetime)).then_some(until)
+    }
+}
