Change log: one line when it is not heard any more, with the cause, one when it is heard again

Measured: crates/dispatcher/tests/log_keys.rs sees both lines and their keys before a change log that answers nothing for 2 s.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod in_flight;
 mod lifecycle;
 mod news;
+mod news_watch;
 mod proxy;
 pub mod replicas;
 mod slow_start_check;
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -3,14 +3,16 @@
 
 use super::hosts::{Host, OutdatedDecisions};
 use super::in_flight::{InFlightForward, PendingGet};
+use super::news_watch::NewsFault;
 use super::proxy::Proxy;
 use super::replicas::{Change, PurgeUncertainty};
 use bytes::Bytes;
 use myrtlegauge::host_life::{EndEvidence, is_to_new_process};
 use myrtlegauge::interface::{End, HostEntry, HostIndex, HostStatus, PurgeKey};
 use myrtlegauge::snapshot;
-use myrtlegauge_wire::change_log_client::{LostPoll, SentPollTimes, SequenceCheck};
-use myrtlegauge_wire::protocol::StreamError;
+use myrtlegauge_wire::change_log_client::{
+    CANNOT_CONNECT, CONNECTION_LOST, LostPoll, SentPollTimes, SequenceCheck,
+};
 use myrtlegauge_wire::protocol::changelog::Endpoint;
 use myrtlegauge_wire::protocol::changelog_answer::AnswerPart;
 use std::collections::HashSet;
@@ -32,7 +34,11 @@
         let Some(replicas) = replicas else {
             let has_failed = self.change_log.poll_if_due(&self.event_loop, &self.resource_usage, self.now);
             self.counters.polls_failed += u64::from(has_failed);
+            if has_failed {
+                self.news_watch.on_fault(NewsFault::Silent);
+            }
             self.record_polls();
+            self.news_watch.on_age(self.purge_news.age(self.now));
             return;
         };
         let errors: Vec<_> =
@@ -145,11 +151,17 @@
                 }
                 part
             }
-            Err(StreamError(error)) => {
+            Err(error) => {
                 self.has_change_log_data = false;
                 self.counters.polls_failed += 1;
+                self.news_watch.on_fault(match error {
+                    CANNOT_CONNECT => NewsFault::Refused,
+                    CONNECTION_LOST => NewsFault::Lost,
+                    _ => NewsFault::Unusable,
+                });
                 self.report_fault(format_args!(
-                    "invalid data from the change log, reconnecting to poll again: {error}"
+                    "invalid data from the change log, reconnecting to poll again: {}",
+                    error.0
                 ));
                 self.change_log.disconnect(self.now);
                 None
@@ -165,6 +177,7 @@
     /// Reports an unreadable change. The change log is polled again on a new connection.
     pub fn on_unreadable_change(&mut self, error: &serde_json::Error) {
         self.counters.polls_failed += 1;
+        self.news_watch.on_fault(NewsFault::Unusable);
         self.report_fault(format_args!(
             "unreadable change of the change log, reconnecting to poll again: {error}"
         ));
@@ -175,6 +188,8 @@
     pub fn on_poll_answered(&mut self) {
         let polled_at = self.change_log.polled_at();
         self.list_known = self.list_known.max(polled_at);
+        let poll_age = self.now.saturating_sub(polled_at);
+        self.news_watch.on_answered(poll_age, self.purge_news.age(self.now));
         self.purge_news.on_poll_answered(polled_at);
         if !self.purge_news.is_resync_pending() && self.startup.log_synced(self.now) {
             self.log_startup_step("whole");
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -8,6 +8,7 @@
 use super::hosts::{Host, HostAddresses, Link, OutdatedDecisions};
 use super::in_flight::InFlightGets;
 use super::lifecycle::{Lifecycle, State};
+use super::news_watch::NewsWatch;
 use super::replicas::ReplicaClient;
 use super::slow_start_check::WrittenRequests;
 use super::slow_start_log::SlowStartLog;
@@ -196,6 +197,7 @@
     pub written_requests: WrittenRequests,
     /// Which purges were received, from the polls of the change log.
     pub purge_news: PurgeNews,
+    pub news_watch: NewsWatch,
     /// The time up to which purges may be in force that were not received: after the process was paused, while the
     /// change log is silent or late or, with replicas, while none answers.
     pub purges_unknown_since: Option<Duration>,
@@ -355,6 +357,7 @@
             slow_start_log: SlowStartLog::default(),
             written_requests: WrittenRequests::default(),
             purge_news,
+            news_watch: NewsWatch::default(),
             purges_unknown_since: None,
             startup: StartupTimeline::start(clock.now()),
             zones: None,
@@ -590,10 +593,12 @@
     pub fn report(&self) {
         let resource_usage = &self.resource_usage;
         log::info!(
-            "{}\n{}\nin hand: {} GETs, {} clients, {} connections to hosts\n\
+            "{}\n{}\nnews: age {} ms, {} ms at most\nin hand: {} GETs, {} clients, {} connections to hosts\n\
              peaks: {} connections, {} bytes in buffers, {} in requests; bytes in {} out {}",
             self.counters,
             self.startup_line(),
+            self.purge_news.age(self.now).as_millis(),
+            self.news_watch.max_age.as_millis(),
             self.in_flight.unanswered_count,
             self.clients.len(),
             self.links.len(),
--- a/crates/dispatcher/tests/log_keys.rs
+++ b/crates/dispatcher/tests/log_keys.rs
@@ -92,15 +92,33 @@
     address
 }
 
+/// Listens as a change log without events that answers nothing for 2 s.
+fn silent_change_log() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let start = Instant::now();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                while stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {
+                    std::thread::sleep(Duration::from_secs(2).saturating_sub(start.elapsed()));
+                    let body = "{\"seq\":0,\"results\":[]}";
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    let _ = stream.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
 /// The keys of the first line with this message that a dispatcher with these hosts logs on one GET.
 fn keys_of(message: &str, known: &Value) -> Vec<String> {
     let (settings, known) = (settings(), known.to_string());
     let mut event_loop = calloop::EventLoop::try_new().unwrap();
-    // No answer of the change log is needed.
-    let change_log = TcpListener::bind("127.0.0.1:0").unwrap();
     let startup = Startup {
         listen: ([127, 0, 0, 1], 0).into(),
-        change_log: change_log.local_addr().unwrap(),
+        change_log: silent_change_log(),
         known_changes: serde_json::from_str(&known).unwrap(),
         settings: settings.as_object().unwrap(),
         seed: 7,
@@ -170,4 +188,7 @@
         "unsaid",
     ];
     assert_eq!(keys, expected);
+    let known = json!({"seq": 0, "results": []});
+    assert_eq!(keys_of("change log not heard in time, refusing older copies", &known), ["cause", "age_ms"]);
+    assert_eq!(keys_of("change log heard again", &known), ["cause", "silent_ms"]);
 }
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -1,6 +1,7 @@
 //! Long-poll client of the change log. It polls again immediately after an answer. If an answer is overdue, it polls on
 //! another connection as well and takes the answer that comes first.
 
+pub use crate::overdue_polls::CONNECTION_LOST;
 use crate::overdue_polls::{OverduePolls, PollConnection, ReadAnswer, SentPoll};
 use crate::protocol::changelog_answer::{AnswerPart, AnswerReader};
 use crate::protocol::{StreamError, changelog};
@@ -36,6 +37,9 @@
 /// Limit of the bytes read from the change log in one iteration of the event loop.
 const MAX_READ_BYTES: usize = 256 * 1024;
 
+/// No connection to the change log could be established.
+pub const CANNOT_CONNECT: StreamError = StreamError("cannot connect to the change log");
+
 /// Long-poll client of the change log, with the sequence number of the last applied event.
 pub struct ChangeLogClient<O: ReadinessHandler> {
     address: SocketAddr,
@@ -345,11 +349,7 @@
             return Ok(Some(part));
         }
         let Some(connection) = &mut self.connection else {
-            return if self.has_connect_failed {
-                Err(StreamError("cannot connect to the change log"))
-            } else {
-                Ok(None)
-            };
+            return if self.has_connect_failed { Err(CANNOT_CONNECT) } else { Ok(None) };
         };
         let part = connection.parse(read)?;
         if part.as_ref().is_some_and(is_end) {
--- a/crates/wire/src/overdue_polls.rs
+++ b/crates/wire/src/overdue_polls.rs
@@ -12,6 +12,9 @@
 /// than the change log may hold one back.
 pub(crate) const MAX_OVERDUE_POLLS: usize = 3;
 
+/// The connection was lost before an answer was complete.
+pub const CONNECTION_LOST: StreamError = StreamError("connection to the change log lost");
+
 /// A connection to the change log with the answer that is read on it.
 pub(crate) struct PollConnection<O: ReadinessHandler> {
     pub connection: Connection<O>,
@@ -43,7 +46,7 @@
         let Self { connection, reader, is_peer_closed } = self;
         let parsed = connection.parse(|inbound| read(reader, inbound, *is_peer_closed))?;
         if parsed.is_none() && *is_peer_closed {
-            return Err(StreamError("connection to the change log lost"));
+            return Err(CONNECTION_LOST);
         }
         Ok(parsed)
     }
--- a/crates/wire/src/protocol/mod.rs
+++ b/crates/wire/src/protocol/mod.rs
@@ -8,5 +8,5 @@
 pub mod resp;
 
 /// The reason why a stream can't be used any further: invalid bytes, or a failed, silent or lost connection.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamError(pub &'static str);
