--- a/crates/lab/src/faults/fleet.rs
+++ b/crates/lab/src/faults/fleet.rs
@@ -214,6 +214,13 @@
         self.begin(index, &mut dispatcher).await
     }
 
+    /// Tells that a cache drains. It serves on for those who come.
+    pub fn drain_cache(&self, cache: usize) {
+        let weight = self.scale.cache_model.weight;
+        let line = line_of_weight(&self.hosts[cache], "leaving", 0, weight);
+        self.change_log.list(&[line], false, Tells::Drain(cache));
+    }
+
     /// Sends a signal to a dispatcher's process.
     pub async fn signal_dispatcher(&self, index: usize, signal: Signal) {
         self.dispatchers[index].lock().await.signal(signal);
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod guards;
 mod load;
+mod news;
 mod schedule;
 mod slow_start;
 mod soak;
@@ -45,6 +46,9 @@
 /// How long a drawn schedule's run goes on after its last fault has begun: the longest of them is over by then.
 const HEALED_FOR: Duration = Duration::from_millis(8000);
 
+/// How long a run goes on after trouble with the change log is over.
+const OBEYED_FOR: Duration = Duration::from_millis(4000);
+
 /// Until when a run goes on after its last fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum After {
@@ -52,6 +56,8 @@
     Warm,
     /// Until the faults are over.
     Healed,
+    /// Until what was told late has been obeyed.
+    Obeyed,
 }
 
 #[derive(clap::Args)]
@@ -86,6 +92,9 @@
     /// are drawn, too.
     #[arg(long)]
     soak: Option<u64>,
+    /// The same, with trouble of the change log alone, before one dispatcher.
+    #[arg(long)]
+    news: Option<u64>,
     /// A drawn schedule that fails is cut down to the least that still does.
     #[arg(long)]
     reduce: bool,
@@ -108,6 +117,9 @@
     if let Some(seeds) = plan.soak {
         return prove_drawn(plan, plan.seed..plan.seed + seeds).await;
     }
+    if let Some(seeds) = plan.news {
+        return prove_news(plan, plan.seed..plan.seed + seeds).await;
+    }
     let cases = plan.case.map_or_else(|| Case::value_variants().to_vec(), |case| vec![case]);
     let (mut held, mut judged) = (true, true);
     for case in cases {
@@ -148,9 +160,27 @@
     Ok(stand::verdict(held, judged))
 }
 
+/// Plays the schedules of trouble with the change log of some seeds, one after another.
+async fn prove_news(plan: &Plan, seeds: std::ops::Range<u64>) -> Result<ExitCode, String> {
+    let (mut held, mut judged) = (true, true);
+    for seed in seeds {
+        // The ledger counts a drain as told to all once it is told to one.
+        let scale = Scale { dispatchers: 1, seed, ..plan.scale() };
+        let events = select(news::draw(seed, plan.quick), &plan.only);
+        let found = play(scale, plan.demand(), &events, After::Obeyed).await?;
+        found.print("news", seed, &events);
+        if !found.holds() {
+            println!("replay: {}", replay(&format!("--seed {seed} --news 1")));
+        }
+        held &= found.holds();
+        judged &= found.holds() || found.lag < TOO_BUSY;
+    }
+    Ok(stand::verdict(held, judged))
+}
+
 /// The command that plays one run of this program's again: its arguments, with the seed and the schedule of that run.
 fn replay(run: &str) -> String {
-    let replaced = ["--seed", "--case", "--soak"];
+    let replaced = ["--seed", "--case", "--soak", "--news"];
     let mut kept = Vec::new();
     let mut arguments = std::env::args().skip(2);
     while let Some(argument) = arguments.next() {
@@ -281,7 +311,7 @@
     let last = events.iter().map(|event| event.at).max().unwrap_or_default();
     let runs_on = match after {
         After::Warm => scale.terms.warm_within + WARM_AFTER + WARM_OVER,
-        After::Healed => HEALED_FOR,
+        After::Healed | After::Obeyed => HEALED_FOR,
     };
     let (least, until) = (Instant::now() + last + runs_on, Arc::new(OnceLock::new()));
     lag.store(0, Ordering::Relaxed);
@@ -289,8 +319,12 @@
         let (fleet, events, until) = (Arc::clone(&fleet), events.to_vec(), Arc::clone(&until));
         tokio::spawn(async move {
             let played = schedule::play(&fleet, &events).await;
-            // A dispatcher that has just started can't tell how long a cache has been up.
-            let at = if after == After::Warm { Instant::now() + runs_on } else { least };
+            let at = match after {
+                // A dispatcher that has just started can't tell how long a cache has been up.
+                After::Warm => Instant::now() + runs_on,
+                After::Obeyed => Instant::now() + OBEYED_FOR,
+                After::Healed => least,
+            };
             until.set(at.max(least)).map_err(|_| "the end of a run is set twice")?;
             played
         })
--- a/crates/lab/src/faults/schedule.rs
+++ b/crates/lab/src/faults/schedule.rs
@@ -1,6 +1,8 @@
 //! What goes wrong in a run, and when: written out for a named case, or drawn from a seed.
 
 use super::fleet::Fleet;
+use super::news;
+use crate::stand::changelog::Delivery;
 use crate::stand::fault_layout::Call;
 use crate::stand::fault_page::ClockShift;
 use crate::stand::ledger::{Named, unix_ms};
@@ -37,6 +39,14 @@
     SilenceLog { long: Duration },
     /// The change log's answers come late by this much.
     SlowLog { late: Duration, long: Duration },
+    /// The change log delivers its answers so.
+    DeliverNews { delivery: Delivery, long: Duration },
+    /// The change log takes no connection.
+    LogDown { long: Duration },
+    /// A cache drains.
+    Drain { cache: usize },
+    /// Hosts of another zone are listed, and six in ten of them replaced, this many changes in an event.
+    Release { hosts: usize, changes_per_event: usize, within: Duration },
     /// Connections between a cache and dispatchers are reset in the middle of answers.
     ResetLinks { cache: usize, dispatchers: Vec<usize>, long: Duration },
     /// Nothing passes from a cache to dispatchers.
@@ -121,6 +131,20 @@
             let all = 0..fleet.scale.dispatchers;
             impair(fleet, Party::ChangeLog, all.collect(), Way::Slow(late), long).await;
         }
+        Fault::DeliverNews { delivery, long } => {
+            fleet.change_log.deliver(Some(delivery));
+            tokio::time::sleep(long).await;
+            fleet.change_log.deliver(None);
+        }
+        Fault::LogDown { long } => {
+            fleet.change_log.set_down(true);
+            tokio::time::sleep(long).await;
+            fleet.change_log.set_down(false);
+        }
+        Fault::Drain { cache } => fleet.drain_cache(cache),
+        Fault::Release { hosts, changes_per_event, within } => {
+            news::release(&fleet.change_log, hosts, changes_per_event, within).await;
+        }
         Fault::ResetLinks { cache, dispatchers, long } => {
             impair(fleet, Party::Host(cache), dispatchers, Way::Reset, long).await;
         }
--- a/crates/lab/src/stand/changelog.rs
+++ b/crates/lab/src/stand/changelog.rs
@@ -20,6 +20,35 @@
     Purge(usize),
 }
 
+/// In which form an answer is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// With a length, at once.
+    Whole,
+    /// With a length, in pieces some time apart.
+    Dripped,
+    /// In chunks.
+    Chunked,
+    /// Without a length: the connection's close ends it.
+    UntilClose,
+}
+
+/// How the answers of a slow change log are delivered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Delivery {
+    /// Each answer leaves this much later, drawn anew for each.
+    pub lateness_ms: std::ops::Range<u64>,
+    pub form: AnswerForm,
+    /// Draws the lateness.
+    pub seed: u64,
+}
+
+/// Pieces of an answer that drips, and the time between two.
+const DRIPS: usize = 16;
+const DRIP_GAP: Duration = Duration::from_millis(20);
+/// Chunks of an answer in chunks.
+const CHUNKS: usize = 5;
+
 #[derive(Default)]
 struct Events {
     bodies: Vec<(String, Tells)>,
@@ -29,6 +58,11 @@
     break_off: bool,
     /// Nothing is answered until then.
     silent: Option<tokio::time::Instant>,
+    /// Answers are late or in another form. A purge then counts as told as soon as it is asked for.
+    delivery: Option<Delivery>,
+    lateness: fastrand::Rng,
+    /// Connections are closed at once.
+    is_down: bool,
     /// Times that it began anew: connections of before are gone.
     life: u64,
 }
@@ -104,6 +138,19 @@
         self.events().silent = Some(tokio::time::Instant::now() + long);
     }
 
+    /// Delivers answers so from now on; soundly without.
+    pub fn deliver(&self, delivery: Option<Delivery>) {
+        let mut events = self.events();
+        let seed = delivery.as_ref().map_or(0, |delivery| delivery.seed);
+        (events.delivery, events.lateness) = (delivery, fastrand::Rng::with_seed(seed));
+    }
+
+    /// Closes all connections at once, or takes them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.events().is_down = is_down;
+        self.news.notify_waiters();
+    }
+
     /// Counts from 1 again, with all that still holds: the whole list as it is now, and purges of the last while. Its
     /// connections end.
     pub fn begin_anew(&self, lines: &[String]) {
@@ -142,6 +189,9 @@
             let (log, renamed) = (Arc::clone(&self), Arc::new(renamed));
             all.spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
+                    if log.events().is_down {
+                        continue;
+                    }
                     let _ = stream.set_nodelay(true);
                     let (log, renamed) = (Arc::clone(&log), Arc::clone(&renamed));
                     tokio::spawn(async move { log.connection(who, stream, &renamed).await });
@@ -180,23 +230,37 @@
             }
             let (since, patience) = (asked("since="), Duration::from_millis(asked("timeout=") as u64));
             let until = tokio::time::Instant::now() + patience.min(Duration::from_secs(5));
+            if self.events().delivery.is_some() {
+                self.count_as_told(who);
+            }
             let silent = self.events().silent.take();
             if let Some(end) = silent {
                 tokio::time::sleep_until(end).await;
             }
             while self.last() == since {
                 let news = self.news.notified();
+                if self.events().is_down {
+                    return Ok(());
+                }
                 if self.last() != since || tokio::time::timeout_at(until, news).await.is_err() {
                     break;
                 }
             }
+            let delivery = self.events().delivery.clone();
+            if let Some(Delivery { lateness_ms, .. }) = &delivery {
+                let lateness_ms = self.events().lateness.u64(lateness_ms.clone());
+                tokio::time::sleep(Duration::from_millis(lateness_ms)).await;
+            }
+            if self.events().is_down {
+                return Ok(());
+            }
             if self.events().life != life || self.net.pass(Party::ChangeLog, who).await != Passed::Whole {
                 return Ok(());
             }
             let (body, told, broken) = self.since(since);
             let body = rename(body, renamed);
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-            stream.get_mut().write_all(head.as_bytes()).await?;
+            let form = delivery.map_or(AnswerForm::Whole, |delivery| delivery.form);
+            stream.get_mut().write_all(head(form, body.len()).as_bytes()).await?;
             if broken {
                 stream.get_mut().write_all(&body.as_bytes()[..body.len() / 2]).await?;
                 return Ok(());
@@ -210,10 +274,26 @@
                     Tells::List => {}
                 }
             }
-            stream.get_mut().write_all(body.as_bytes()).await?;
+            send_body(stream.get_mut(), body.as_bytes(), form).await?;
+            if form == AnswerForm::UntilClose {
+                return Ok(());
+            }
         }
     }
 
+    /// All purges in the log count as told to one who asks.
+    fn count_as_told(&self, who: Party) {
+        let purges: Vec<usize> = {
+            let events = self.events();
+            let told = events.bodies[events.first..].iter().filter_map(|(_, tells)| match tells {
+                Tells::Purge(purge) => Some(*purge),
+                _ => None,
+            });
+            told.collect()
+        };
+        purges.into_iter().for_each(|purge| self.ledger.purge_told(purge, who));
+    }
+
     fn last(&self) -> usize {
         let events = self.events();
         events.bodies.len() - events.first
@@ -234,6 +314,36 @@
     }
 }
 
+fn head(form: AnswerForm, length: usize) -> String {
+    let framing = match form {
+        AnswerForm::Whole | AnswerForm::Dripped => format!("Content-Length: {length}\r\n"),
+        AnswerForm::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+        AnswerForm::UntilClose => String::new(),
+    };
+    format!("HTTP/1.1 200 OK\r\n{framing}\r\n")
+}
+
+async fn send_body(stream: &mut TcpStream, body: &[u8], form: AnswerForm) -> std::io::Result<()> {
+    match form {
+        AnswerForm::Whole | AnswerForm::UntilClose => stream.write_all(body).await,
+        AnswerForm::Dripped => {
+            for piece in body.chunks(body.len().div_ceil(DRIPS).max(1)) {
+                stream.write_all(piece).await?;
+                tokio::time::sleep(DRIP_GAP).await;
+            }
+            Ok(())
+        }
+        AnswerForm::Chunked => {
+            for chunk in body.chunks(body.len().div_ceil(CHUNKS).max(1)) {
+                stream.write_all(format!("{:x}\r\n", chunk.len()).as_bytes()).await?;
+                stream.write_all(chunk).await?;
+                stream.write_all(b"\r\n").await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await
+        }
+    }
+}
+
 /// Hosts' addresses as they are listed and as one who polls is told them, in quotes.
 fn renames(hosts: &[(SocketAddr, SocketAddr)]) -> Vec<(String, String)> {
     hosts.iter().map(|(listed, told)| (format!("\"{listed}\""), format!("\"{told}\""))).collect()
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -31,6 +31,14 @@
     assert_eq!(code, 0, "{told}");
 }
 
+/// Guards against news that is late, in another form or missed in an outage, with lists of up to 3,200 hosts: copies from before
+/// purges, requests to a drained cache, a cold cache overloaded or requests lost.
+#[test]
+fn drawn_trouble_with_the_change_log_breaks_no_rule() {
+    let (code, told) = run("faults", &["--news", "2"]);
+    assert_eq!(code, 0, "{told}");
+}
+
 #[test]
 fn without_its_guard_a_cold_cache_is_overloaded_and_the_check_fires() {
     let (code, told) = run("faults", &["--case", "told", "--without", "starting"]);
