--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -167,8 +167,8 @@
     /// the first time, and the missing events are requested again on a new connection. The second time it is
     /// accepted, because the change log no longer has the missing events.
     fn accepts_after_gap(&mut self, seq: u64, now: Duration) -> bool {
-        let is_accepted =
-            self.connection.is_none() || std::mem::replace(&mut self.retried_gap_seq, seq) == seq;
+        let has_polled = !self.polled_at.is_zero();
+        let is_accepted = !has_polled || std::mem::replace(&mut self.retried_gap_seq, seq) == seq;
         if !is_accepted {
             self.disconnect_all(now);
         }
--- a/crates/wire/tests/change_log_client.rs
+++ b/crates/wire/tests/change_log_client.rs
@@ -1,7 +1,7 @@
 //! The client of the change log against fake change logs on loopback, whose answers are late.
 
 use calloop::EventLoop;
-use myrtlegauge_wire::change_log_client::ChangeLogClient;
+use myrtlegauge_wire::change_log_client::{ChangeLogClient, SequenceCheck};
 use myrtlegauge_wire::transport::{EventLoopHandle, ReadinessHandler, ResourceUsage};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -148,3 +148,14 @@
     assert!(client.poll_for(WAIT + SLACK));
     assert_eq!(client.resource_usage.descriptors.current(), 1);
 }
+
+/// Guards against missing events that are passed over because an overdue answer comes while no other connection is up.
+#[test]
+fn a_gap_is_asked_for_once_more_though_no_connection_is_up() {
+    let mut client = TestClient::new(start_change_log(|| Duration::ZERO));
+    assert!(client.poll_for(WAIT + SLACK));
+    let now = client.started_at.elapsed();
+    client.client.disconnect(now);
+    assert_eq!(client.client.accept(5, now), SequenceCheck::GapRetried(0));
+    assert_eq!(client.client.accept(5, now), SequenceCheck::GapAccepted(0));
+}
