Purges: an answer counts as missing when the poll is overdue, not 50 ms after its wait

A dispatcher that is itself late by 50 ms took its change log for late, and, without a grace in the lab's settings, refused copies then.

Measured: tests/purge_news.rs holds.

--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -9,9 +9,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time from when an answer is due until the poll counts as unanswered. It covers the network's and both programs'
-/// delays while the change log is sound.
-const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// Time from when an answer is due until the poll counts as unanswered, and is sent again. It covers the delays of the
+/// network, of both programs and of a busy machine while the change log is sound.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// Time after the grace period within which copies are still accepted on sockets.
+const SOCKET_SLACK: Duration = Duration::from_millis(50);
 /// A purge that a lost poll would have told counts as known this long after the loss.
 const TIME_TO_KNOWN_AFTER_LOSS: Duration = Duration::from_millis(2000);
 /// A purge counts as known after this long, however it fares.
@@ -66,7 +68,7 @@
 
     /// A poll was sent, whose answer is due at a time if there are no events.
     pub fn on_poll_sent(&mut self, sent_at: Duration, answer_due_at: Duration) {
-        let in_force_from = answer_due_at.max(sent_at + self.grace) + ANSWER_MARGIN;
+        let in_force_from = (answer_due_at + ANSWER_MARGIN).max(sent_at + self.grace + SOCKET_SLACK);
         self.unknown.push_back(UnknownPurges { until: sent_at, in_force_from, cause: Cause::PollUnanswered });
     }
 
