Test: the objective is longer than the trace of malformed answers takes

Cause: the trace leaves five GETs unanswered at the host for as long as it lasts, 0.5 s on a quiet machine, and a host whose forwards are overdue (objective of 500 ms) is skipped as silent. Next would have been the change log, which the rig never answers: after 1 s the forwards carry an accepted age (seen with the longer objective alone and 60 ms before each wait).

--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{DispatcherRig, HOSTS, record, request, settings};
+use common::{DEFAULT_LIMITS, DispatcherRig, HOSTS, record, request, settings};
 use insta::assert_snapshot;
 use myrtlegauge_dispatcher::program::{ConfigFile, reload};
 use myrtlegauge_dispatcher::routing::{Dispatcher, ResourceLimits};
@@ -232,7 +232,11 @@
 
 #[test]
 fn a_malformed_answer_closes_only_its_connection_and_the_gets_on_it_are_sent_again() {
-    let mut rig = DispatcherRig::new();
+    // Longer than the test takes, or the host would be silent because of the GETs that it leaves unanswered.
+    let mut settings = settings();
+    settings["classes"][0]["aim_ms"] = json!(3000.0);
+    settings["domain"]["obey_after_ms"] = json!(3000.0);
+    let mut rig = DispatcherRig::with_settings(settings, DEFAULT_LIMITS);
     for number in 1..=6 {
         rig.send_get(number, "video", &[]);
         rig.wait_for_lines(1);
