Replicas: an answer is bounded in bytes, and pollers accept any answer within the bound

What a dispatcher would see: told of nothing any more by its replicas, each poll failing with "change log answer has no valid content length". A page of a replica's log is bounded at 5,000 records; with lines of hosts of 233 bytes that is 1.16 MB, and pollers refused more than 1 MiB, so that the same page was asked for again for ever. A fleet of 3,200 hosts has that many lines after a release. Change: a page is bounded at 4 MiB too (the next poll goes on after it; a longer record goes on its own).

--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -7,7 +7,8 @@
     MemberName, MemberView, Outstanding, PurgeTarget, Reason, Record, RecordName, Replica, ReplicaName,
     ReplicaStanding, Verdict,
 };
-use myrtlegauge_wire::protocol::{StreamError, changelog};
+use myrtlegauge_wire::protocol::StreamError;
+use myrtlegauge_wire::protocol::changelog_answer::AnswerReader;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -272,6 +273,7 @@
     let request = format!("GET /status HTTP/1.1\r\nHost: {address}\r\n\r\n");
     stream.write_all(request.as_bytes()).map_err(connection)?;
     let (mut inbound, mut buffer) = (BytesMut::new(), vec![0; READ_BUFFER_BYTES]);
+    let mut reader = AnswerReader::default();
     loop {
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
@@ -284,7 +286,7 @@
         }
         inbound.extend_from_slice(&buffer[..read]);
         let invalid = |StreamError(cause)| StatusError::Invalid { address, cause: cause.to_owned() };
-        if let Some(body) = changelog::next_answer(&mut inbound).map_err(invalid)? {
+        if let Some(body) = reader.next_whole(&mut inbound, false).map_err(invalid)? {
             return Ok(body);
         }
     }
--- a/crates/replication/src/compacted_log.rs
+++ b/crates/replication/src/compacted_log.rs
@@ -18,6 +18,8 @@
     pub record: Record,
     /// When the record was added to this log.
     pub added_at: Duration,
+    /// The length of the record's JSON.
+    pub json_bytes: usize,
 }
 
 /// The result of merging a record.
@@ -29,6 +31,15 @@
     Known(Sequence),
 }
 
+/// The largest part of the log that is returned at once. It has at least one record, however long that is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SliceLimits {
+    /// The maximum number of records.
+    pub records: usize,
+    /// The maximum length of the JSON of all records.
+    pub bytes: usize,
+}
+
 /// A part of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogSlice {
@@ -52,7 +63,7 @@
 /// A compacted log.
 ///
 /// ```
-/// use myrtlegauge_replication::compacted_log::{Audience, CompactedLog, MergeResult};
+/// use myrtlegauge_replication::compacted_log::{Audience, CompactedLog, MergeResult, SliceLimits};
 /// use myrtlegauge_replication::{Purge, PurgeTarget, Record, Sequence};
 /// use std::time::Duration;
 /// let purge = |unix_ms| Record::Purge(Purge { target: PurgeTarget::Group(17), unix_ms });
@@ -60,7 +71,8 @@
 /// assert_eq!(log.merge(purge(1000), Duration::ZERO), MergeResult::Changed(Sequence(1)));
 /// assert_eq!(log.merge(purge(900), Duration::ZERO), MergeResult::Known(Sequence(1)));
 /// assert_eq!(log.merge(purge(1200), Duration::ZERO), MergeResult::Changed(Sequence(2)));
-/// assert_eq!(log.events_after(Sequence(0), 10, Audience::Dispatchers).events.len(), 1);
+/// let limits = SliceLimits { records: 10, bytes: 1000 };
+/// assert_eq!(log.events_after(Sequence(0), limits, Audience::Dispatchers).events.len(), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CompactedLog {
@@ -140,17 +152,19 @@
             }
             _ => {}
         }
-        self.entries.insert(name, Entry { seq, record, added_at: now });
+        let json_bytes = record.json_bytes();
+        self.entries.insert(name, Entry { seq, record, added_at: now, json_bytes });
         MergeResult::Changed(seq)
     }
 
-    /// Returns the records above `since`, at most `max_records`.
-    pub fn events_after(&self, since: Sequence, max_records: usize, audience: Audience) -> LogSlice {
+    /// Returns the records above `since`, up to the limits.
+    pub fn events_after(&self, since: Sequence, limits: SliceLimits, audience: Audience) -> LogSlice {
         let above = Sequence(since.0.saturating_add(1));
         let mut data = self.data.range(above..).peekable();
         let mut members =
             self.members.range(above..).take_while(|_| audience == Audience::Replicas).peekable();
         let mut events = Vec::new();
+        let mut bytes = 0;
         loop {
             let next = match (data.peek(), members.peek()) {
                 (Some((data_seq, _)), Some((member_seq, _))) if member_seq < data_seq => members.next(),
@@ -160,13 +174,15 @@
             let Some((&seq, name)) = next else {
                 return LogSlice { events, seq: self.last_seq, more: false };
             };
-            if events.len() >= max_records {
+            let Some(entry) = self.entries.get(name) else {
+                continue;
+            };
+            bytes += entry.json_bytes;
+            if !events.is_empty() && (events.len() >= limits.records || bytes > limits.bytes) {
                 let last_returned = events.last().map_or(since, |event: &Event| event.seq);
                 return LogSlice { events, seq: last_returned, more: true };
             }
-            if let Some(entry) = self.entries.get(name) {
-                events.push(Event { seq, record: entry.record.clone() });
-            }
+            events.push(Event { seq, record: entry.record.clone() });
         }
     }
 
--- a/crates/replication/src/record.rs
+++ b/crates/replication/src/record.rs
@@ -221,6 +221,11 @@
 }
 
 impl Record {
+    /// The length of the record's JSON.
+    pub fn json_bytes(&self) -> usize {
+        serde_json::to_vec(self).expect("a record has only string keys, and is written to memory").len()
+    }
+
     /// The name of the record.
     ///
     /// ```
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -38,6 +38,9 @@
     pub batch_interval: Duration,
     /// The maximum number of records in one answer.
     pub max_batch_records: usize,
+    /// The maximum length of the JSON of all records in one answer. A longer record is sent on its own. Pollers accept
+    /// four times as much.
+    pub max_batch_bytes: usize,
     /// How long a peer may hold a poll of this replica.
     pub peer_timeout: Duration,
     /// A poll of a peer counts as failed this long after its timeout.
@@ -77,6 +80,7 @@
             incarnation,
             batch_interval: Duration::from_millis(100),
             max_batch_records: 5000,
+            max_batch_bytes: 4 * 1024 * 1024,
             peer_timeout: Duration::from_secs(1),
             peer_timeout_margin: Duration::from_secs(1),
             peer_retry_delay: Duration::from_millis(200),
@@ -460,6 +464,7 @@
     }
     for (setting, limit) in [
         ("the maximum number of records in a batch", config.max_batch_records),
+        ("the maximum number of bytes in a batch", config.max_batch_bytes),
         ("the maximum number of members", config.max_members),
         ("the maximum number of records", config.max_records),
     ] {
--- a/crates/replication/src/replica/polls.rs
+++ b/crates/replication/src/replica/polls.rs
@@ -1,7 +1,7 @@
 //! Polls of readers, dispatchers and peers, and their answers.
 
 use super::{MAX_POLL_TIMEOUT, PollId, Replica};
-use crate::compacted_log::Audience;
+use crate::compacted_log::{Audience, SliceLimits};
 use crate::errors::PollError;
 use crate::poll::{PollAnswer, PollRequest};
 use crate::record::{Member, MemberName, MemberState, Record, ReplicaName, Sequence};
@@ -142,7 +142,9 @@
 
     /// An answer with the records above `since`.
     pub(super) fn answer(&self, since: Sequence, audience: Audience) -> PollAnswer {
-        let slice = self.log.events_after(since, self.config.max_batch_records, audience);
+        let limits =
+            SliceLimits { records: self.config.max_batch_records, bytes: self.config.max_batch_bytes };
+        let slice = self.log.events_after(since, limits, audience);
         PollAnswer { more: slice.more, results: slice.events, ..self.bare_answer(slice.seq) }
     }
 
--- a/crates/wire/src/long_poll.rs
+++ b/crates/wire/src/long_poll.rs
@@ -2,6 +2,7 @@
 //! and the timeout. The platform's change log is polled by `change_log_client`, with its own rules for timeouts and
 //! retries.
 
+use crate::protocol::changelog_answer::AnswerReader;
 use crate::protocol::{StreamError, changelog};
 use crate::transport::{Connection, EventLoopHandle, ReadOutcome, ReadinessHandler, ResourceUsage};
 use bytes::Bytes;
@@ -19,6 +20,8 @@
     /// The key under which the handler is notified.
     key: O::Key,
     connection: Option<Connection<O>>,
+    /// The answer that is read on the connection.
+    reader: AnswerReader,
     /// When the outstanding poll times out, if there is one.
     timeout_at: Option<Duration>,
     /// The peer has closed the connection. The bytes received before may still be a complete answer.
@@ -35,6 +38,7 @@
             host: address.to_string(),
             key,
             connection: None,
+            reader: AnswerReader::default(),
             timeout_at: None,
             is_peer_closed: false,
             failure: None,
@@ -155,9 +159,10 @@
         if let Some(failure) = self.failure.take() {
             return Err(failure);
         }
-        let Some(connection) = &mut self.connection else { return Err(CONNECTION_LOST) };
-        let body = connection.parse(changelog::next_answer)?;
-        if body.is_none() && self.is_peer_closed { Err(CONNECTION_LOST) } else { Ok(body) }
+        let Self { connection, reader, is_peer_closed, .. } = self;
+        let Some(connection) = connection else { return Err(CONNECTION_LOST) };
+        let body = connection.parse(|inbound| reader.next_whole(inbound, *is_peer_closed))?;
+        if body.is_none() && *is_peer_closed { Err(CONNECTION_LOST) } else { Ok(body) }
     }
 
     fn fail(&mut self, error: StreamError) {
@@ -167,6 +172,7 @@
 
     fn disconnect(&mut self) {
         self.connection = None;
+        self.reader = AnswerReader::default();
         self.is_peer_closed = false;
     }
 }
--- a/crates/wire/src/protocol/changelog_answer.rs
+++ b/crates/wire/src/protocol/changelog_answer.rs
@@ -114,7 +114,9 @@
     ) -> Result<Option<Bytes>, StreamError> {
         let is_complete = self.body.read(inbound, &mut self.received, is_peer_closed)?;
         if self.received.len() > MAX_WHOLE_ANSWER_BYTES {
-            return Err(StreamError("change log answer exceeds 16 MiB: restart to take a new list of hosts"));
+            return Err(StreamError(
+                "answer exceeds 16 MiB: restart to get a new list of hosts, or publish shorter entries",
+            ));
         }
         Ok(is_complete.then(|| std::mem::take(self).received.freeze()))
     }
