Control service: the changes of an answer are applied in one round

A release in a fleet of 3,200 hosts that comes in one answer stops the service meanwhile, leases and reports with it. Change: Fleet collects host lists and purges and applies them in the next round or before it publishes, in their order. Test: the_changes_of_an_answer_are_applied_in_one_round (the count of rounds, which is new; what proxies are told is the same as one by one).

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -7,7 +7,7 @@
     self, BY_HOST_CLUSTER, HostLine, PurgeLine, ROUTE_TABLE, RouteLine, TIERS, TermsLine, Tier,
 };
 use crate::resource_cache::{Resource, ResourceType, Version};
-use myrtlegauge::decide::Router;
+use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{
     DecisionSink, Forward, GetIndex, HostEntry, HostIndex, HostStatus, ListUpdate, PurgeKey, Settings,
 };
@@ -74,9 +74,26 @@
     timeout: Duration,
 }
 
+/// A change that the decision module has not been told of yet.
+enum RouterChange {
+    HostList(ListUpdate, Vec<HostEntry>),
+    Purge(PurgeKey),
+}
+
+impl RouterChange {
+    fn apply(&self, round: &mut Round<'_, WakeupTimer>) {
+        match self {
+            Self::HostList(update, entries) => round.on_host_list(*update, entries),
+            Self::Purge(key) => round.on_purge(*key, Duration::ZERO),
+        }
+    }
+}
+
 /// The hosts, purges and delivery services, with the decision module that routes to them.
 pub struct Fleet {
     router: Router,
+    /// Applied together in the next round, since each round updates the rings.
+    pending_changes: Vec<RouterChange>,
     timer: WakeupTimer,
     wakeup_at: Duration,
     registry: HostRegistry,
@@ -102,6 +119,8 @@
     assigned_at: [Duration; 3],
     /// Number of unusable host lines and purges.
     pub faults: u64,
+    /// Number of rounds of the decision module.
+    pub rounds: u64,
 }
 
 impl Fleet {
@@ -124,6 +143,7 @@
             |name: &str| number(settings, name).ok().filter(|&kind| kind >= 0.0).map(|kind| kind as usize);
         Ok(Self {
             router: Router::new(settings, seed)?,
+            pending_changes: Vec::new(),
             timer: WakeupTimer::default(),
             wakeup_at: Duration::ZERO,
             registry: HostRegistry::new(settings)?,
@@ -142,6 +162,7 @@
             is_assignment_stale: [false; 3],
             assigned_at: [Duration::ZERO; 3],
             faults: 0,
+            rounds: 0,
         })
     }
 
@@ -190,7 +211,8 @@
         self.services.iter().position(|service| service.name == name)
     }
 
-    /// Applies lines of the host list. Hosts that a full list leaves out are removed.
+    /// Applies lines of the host list. Hosts that a full list leaves out are removed. The decision module is told in
+    /// the next round.
     pub fn on_host_list(&mut self, lines: &[Endpoint<'_>], is_full: bool, now: Duration) {
         let mut entries = Vec::with_capacity(lines.len());
         if is_full {
@@ -253,9 +275,8 @@
             host.removed_at = host.removed_at.or(Some(now)).filter(|_| entry.status == HostStatus::Removed);
             entries.push(self.withheld_entry(entry));
         }
-        self.run_round(now, |round| {
-            round.on_host_list(if is_full { ListUpdate::Full } else { ListUpdate::Changes }, &entries);
-        });
+        let update = if is_full { ListUpdate::Full } else { ListUpdate::Changes };
+        self.pending_changes.push(RouterChange::HostList(update, entries));
     }
 
     /// Sets the fraction of keys that each zone (by index) takes, and withholds the rest from its hosts.
@@ -273,7 +294,8 @@
         }
         let known = self.hosts.iter().filter(|host| !host.name.is_empty() && host.removed_at.is_none());
         let entries: Vec<_> = known.map(|host| self.withheld_entry(host.entry)).collect();
-        self.run_round(now, |round| round.on_host_list(ListUpdate::Changes, &entries));
+        self.pending_changes.push(RouterChange::HostList(ListUpdate::Changes, entries));
+        self.run_round(now, |_| ());
     }
 
     /// The host entry with the withheld fraction of its zone.
@@ -286,19 +308,22 @@
         self.hosts[index].entry.zone
     }
 
-    fn run_round(
-        &mut self,
-        now: Duration,
-        action: impl FnOnce(&mut myrtlegauge::decide::Round<'_, WakeupTimer>),
-    ) {
-        self.router.round(now, &mut self.timer, action);
+    /// Runs a round in which the pending changes come before the action.
+    fn run_round(&mut self, now: Duration, action: impl FnOnce(&mut Round<'_, WakeupTimer>)) {
+        let changes = std::mem::take(&mut self.pending_changes);
+        self.rounds += 1;
+        self.router.round(now, &mut self.timer, |round| {
+            changes.iter().for_each(|change| change.apply(round));
+            action(round);
+        });
         if let Some(after) = self.timer.wakeup_after.take() {
             self.wakeup_at = now + after;
         }
     }
 
-    /// Applies a purge. A purge that names nothing or has no valid time is counted as a fault and ignored.
-    pub fn on_purge(&mut self, purge: &Purge<'_>, now: Duration) {
+    /// Applies a purge. A purge that names nothing or has no valid time is counted as a fault and ignored. The decision
+    /// module is told in the next round.
+    pub fn on_purge(&mut self, purge: &Purge<'_>) {
         let object = purge.object.as_deref().and_then(|id| u64::from_str_radix(id, 16).ok());
         let key = object.map(PurgeKey::Object).or(purge.bucket.map(PurgeKey::Group));
         let Some(key) = key.filter(|_| purge.unix_ms.is_finite() && purge.unix_ms >= 0.0) else {
@@ -312,7 +337,7 @@
             let oldest = self.purges.iter().min_by_key(|(_, at)| **at).map(|(key, _)| *key);
             oldest.map(|key| self.purges.remove(&key));
         }
-        self.run_round(now, |round| round.on_purge(key, Duration::ZERO));
+        self.pending_changes.push(RouterChange::Purge(key));
     }
 
     /// Passes the summary of one report interval to the decision module.
@@ -358,6 +383,9 @@
 
     /// Publishes all changes since the last call. `proxies` is the number of proxies that share the limits on fills.
     pub fn publish(&mut self, server: &mut AdsServer, proxies: usize, now: Duration, unix_ms: u64) {
+        if !self.pending_changes.is_empty() {
+            self.run_round(now, |_| ());
+        }
         let snapshot = self.router.routing_snapshot(now);
         let mut shares: Vec<Option<HostShare>> = vec![None; self.hosts.len()];
         for share in snapshot.caches.iter().chain(&snapshot.parents).chain(&snapshot.origin) {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -359,7 +359,7 @@
                 }
             }
             if let Some(purge) = &change.invalidate {
-                self.fleet.on_purge(purge, self.now);
+                self.fleet.on_purge(purge);
             }
         }
         if change_log.last_seq == previous_seq {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -88,7 +88,7 @@
     }
 
     pub fn purge(&mut self, object: Option<&'static str>, bucket: Option<u64>, unix_ms: f64) {
-        self.fleet.on_purge(&Purge { object: object.map(Cow::Borrowed), bucket, unix_ms }, self.now);
+        self.fleet.on_purge(&Purge { object: object.map(Cow::Borrowed), bucket, unix_ms });
         self.publish();
     }
 
--- a/crates/control/tests/decisions.rs
+++ b/crates/control/tests/decisions.rs
@@ -8,7 +8,7 @@
 use myrtlegauge_control::ads_server::ProtocolVariant;
 use myrtlegauge_control::load_reports::Summary;
 use myrtlegauge_control::messages::{HostLine, PurgeLine, TermsLine, Tier};
-use myrtlegauge_wire::protocol::changelog::Endpoint;
+use myrtlegauge_wire::protocol::changelog::{Endpoint, Purge};
 use std::time::Duration;
 
 const KEYS: u64 = 3000;
@@ -294,6 +294,36 @@
     }
 }
 
+/// Guards against a release that stops the service: each change took a round, and each round updates the rings.
+#[test]
+fn the_changes_of_an_answer_are_applied_in_one_round() {
+    const CACHES: usize = 40;
+    let mut control = TestControlPlane::new(CACHES, 2);
+    let rounds_before = control.fleet.rounds;
+    for index in 0..CACHES {
+        let status = if index % 2 == 0 { "leaving" } else { "active" };
+        let lines = [host_entry(&format!("cache-{index}"), status, 0)];
+        control.fleet.on_host_list(&lines, false, control.now);
+        control.fleet.on_purge(&Purge { object: None, bucket: Some(index as u64), unix_ms: 1000.0 });
+    }
+    control.publish();
+    assert_eq!(control.fleet.rounds, rounds_before + 1);
+    let mut one_by_one = TestControlPlane::new(CACHES, 2);
+    for index in 0..CACHES {
+        let status = if index % 2 == 0 { "leaving" } else { "active" };
+        one_by_one.list_host(&format!("cache-{index}"), status, 0);
+    }
+    let published = |control: &mut TestControlPlane| {
+        let mut proxy = Proxy::connect(control, ProtocolVariant::Delta);
+        proxy.handle_all(control);
+        let host = |index: usize| proxy.follower.host(&format!("cache-{index}"));
+        (0..CACHES).map(|index| host(index).map(|host| (host.part, host.draining))).collect::<Vec<_>>()
+    };
+    assert_eq!(published(&mut control), published(&mut one_by_one));
+    control.publish();
+    assert_eq!(control.fleet.rounds, rounds_before + 1, "nothing has changed");
+}
+
 /// Instances compare hashes of these texts as resource versions. A renamed or moved field would change the versions.
 #[test]
 fn the_texts_that_are_hashed_into_versions_are_stable() {
