--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -217,6 +217,7 @@
                 }
                 round.sink().cancel_outdated_forwards();
                 round.sink().update_purge_uncertainty();
+                // Once more, since an answer may have been applied in this round.
                 round.sink().update_unknown_purges();
                 let purges_unknown_since = round.sink().purges_unknown_since;
                 round.set_purges_unknown_since(purges_unknown_since);
--- a/crates/dispatcher/src/routing/news_watch.rs
+++ b/crates/dispatcher/src/routing/news_watch.rs
@@ -81,7 +81,7 @@
 
     fn log_fault(&mut self, cause: NewsFault, age: Duration) {
         let age_ms = age.as_millis() as u64;
-        log::warn!(cause:% = cause, age_ms; "change log not heard in time, refusing older copies");
+        log::warn!(cause:% = cause, age_ms; "change log not heard in time, copies may be refused");
         self.logged = Some(cause);
     }
 }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -25,6 +25,7 @@
     pub fn read_ready(&mut self) {
         let last_active = std::mem::replace(&mut self.now, self.clock.now());
         self.detect_pause(last_active);
+        // Before connections come up, since waiting forwards are then written as they are.
         self.update_unknown_purges();
         std::mem::swap(&mut self.ready, &mut self.ready_batch);
         for index in 0..self.ready_batch.len() {
