Decision module: host health and link load in modules of their own; names of the field

The control service's module on zones is zone_controller, after its type; the proof's defence is a ramp (its flag stays pace).

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,7 @@
 //! Modules without I/O: `lease` (how long the published state holds), `resource_cache` (the published resources),
 //! `ads_server` (the state of all ADS streams), `load_reports` (the reports of proxies), `fleet` (the hosts, purges and
 //! the decision module), `messages` (encoding and decoding of the published messages), `follower` (the core of a proxy
-//! that follows a control service), `session` (the streams of a follower), `zoning` (verdicts on zones). Modules with
+//! that follows a control service), `session` (the streams of a follower), `zone_controller` (verdicts on zones). Modules with
 //! I/O: `service` (the event loop), `grpc` (the published services, on tokio on a thread of its own), `client_status`
 //! (status for operators).
 
@@ -19,4 +19,4 @@
 pub mod resource_cache;
 pub mod service;
 pub mod session;
-pub mod zoning;
+pub mod zone_controller;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,7 +6,7 @@
 use crate::grpc::{self, GrpcStreamId, OUTBOX_CAPACITY, ResponseSender, ServiceEvent};
 use crate::lease::Lease;
 use crate::load_reports::{FillCounts, HostReport, LoadReports, sum_fills};
-use crate::zoning::{self, ZoneController};
+use crate::zone_controller::{HostOutcomes, ZoneController};
 use crate::{client_status, messages};
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, channel};
@@ -522,7 +522,7 @@
         if let Some(zones) = &mut self.zones {
             let outcomes: Vec<_> = hosts
                 .iter()
-                .map(|&HostReport { host, returned, errored, late, .. }| zoning::HostOutcomes {
+                .map(|&HostReport { host, returned, errored, late, .. }| HostOutcomes {
                     zone: self.fleet.zone_of(host),
                     returned,
                     errored,
--- a/crates/lab/src/leave.rs
+++ b/crates/lab/src/leave.rs
@@ -32,7 +32,8 @@
     /// What was told holds for ten seconds.
     Lease,
     /// All keys go back at once.
-    Pace,
+    #[value(name = "pace")]
+    Ramp,
     /// What zones bear is not told.
     Capacity,
 }
@@ -131,7 +132,7 @@
     let defect = plan.without.map(|without| match without {
         Without::Quorum => Defect::NoQuorum,
         Without::Lease => Defect::NoLease,
-        Without::Pace => Defect::NoRamp,
+        Without::Ramp => Defect::NoRamp,
         Without::Capacity => Defect::NoCapacity,
     });
     // Where a return has to be paced, and where what remains is short, caches have one place each: 66 GETs a second warm, 15
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,7 +20,7 @@
 use crate::site_settings::{DeliveryService, SiteSettings, TokenGroup};
 use crate::snapshot;
 use crate::state::{HostState, InFlightGet, LinkLoad, SentForward, ServiceStats};
-use myrtlegauge_recovery::{FillOutcome, RetryBudget, WorkEstimate, bits::count_recent, bits::mix};
+use myrtlegauge_recovery::{FillOutcome, RetryBudget, WorkEstimate, bits::mix};
 use slab::Slab;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,23 +38,17 @@
 /// hosts failed, one key in 10^16 has 32 failed ones in a row. Where all hosts are cold and take a tenth of their
 /// keys, three keys in a hundred find no host.
 pub const MAX_WALKED_HOSTS: usize = 32;
-/// Number of recent outcomes by which a host is judged. At least half of them must be successes. The number is small
-/// so that a dead host is found in time.
-const JUDGED_OUTCOMES: u32 = 4;
 /// Time before a failed host gets one trial, doubled at each failed trial up to four times this value. It is also the
 /// time before a failed request for the host list is repeated.
 pub(crate) const INITIAL_BACKOFF: Duration = Duration::from_millis(1000);
-/// A failed host without a success for longer than this may have been restarted, and is treated as cold on its
-/// return.
-const ASSUMED_RESTART_AFTER: Duration = Duration::from_millis(2000);
 /// Interval of the wake-ups, in which the running means are updated. It is far below any latency objective and causes
 /// few calls per second.
-const WAKEUP_INTERVAL: Duration = Duration::from_millis(25);
+pub(crate) const WAKEUP_INTERVAL: Duration = Duration::from_millis(25);
 /// Least time beyond the expected sending time before a forward is overdue: several round trips to a distant source.
 const OVERDUE_MARGIN_S: f64 = 0.25;
 /// Factor on the expected time up to which the silence or slowness of a host is tolerated. A host at half the expected
 /// speed is not dead.
-const TOLERATED_SLOWDOWN: f64 = 2.0;
+pub(crate) const TOLERATED_SLOWDOWN: f64 = 2.0;
 /// Largest number of forwards for one GET. A third failure shows that the cause is not a single host.
 pub(crate) const MAX_FORWARDS: u32 = 3;
 /// Fraction of the time left to the latency objective that a GET is planned to take. The rest is for what comes after
@@ -62,24 +56,15 @@
 const USABLE_OBJECTIVE_FRACTION: f64 = 0.8;
 /// Relative pace of hits below which a cache's link is full. A cache with spare capacity is faster even if sizes
 /// vary.
-const CONGESTED_PACE: f64 = 0.7;
+pub(crate) const CONGESTED_PACE: f64 = 0.7;
 /// The same for fills whose wait for the source is not reported. Their time includes that wait.
 const CONGESTED_PACE_WITH_WAIT: f64 = 0.4;
-/// Time constant of the mean number of this router's transfers at a cache. Each other router is assumed to have as
-/// many there.
-const LINK_LOAD_MEAN_TIME: Duration = Duration::from_millis(1000);
-/// Lower bound of the learnt capacity of a link, in transfers. It is below one, since a host may slow down many times
-/// over while nothing else is in flight to it.
-const MIN_LINK_CAPACITY: f64 = 0.1;
-/// Weight of a transfer at full pace that shows more than the learnt capacity. It is low because capacity is lost
-/// faster than it is regained.
-const CAPACITY_RISE_WEIGHT: f64 = 0.03;
 /// Least sending time, in latency objectives, beside which a wait that is not reported is small.
 const MIN_SENDING_OBJECTIVES: f64 = 0.5;
 /// Fraction of the latency objective that is assumed as the sending time until some were observed.
 const INITIAL_SENDING_FRACTION: f64 = 0.25;
 /// Weight of a new sample in a moving average. The average covers about ten outcomes.
-const SAMPLE_WEIGHT: f64 = 0.1;
+pub(crate) const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of a probable fill in the fraction of them that reaches the origin. About one in twenty does. The average
 /// covers about fifty fills, among which each of these shows.
 const ORIGIN_FRACTION_WEIGHT: f64 = 0.02;
@@ -142,90 +127,10 @@
     pub(crate) slow_start_violations: u64,
 }
 
-impl LinkLoad {
-    /// Assumed number of transfers on the link with one more: those of this router, and its mean for each other
-    /// router at this location.
-    fn total_transfers(&self, other_routers: f64) -> f64 {
-        self.in_flight + 1.0 + self.mean_in_flight * other_routers
-    }
-
-    /// Factor on the time of a transfer because of the other transfers, from the learnt or the configured capacity.
-    /// It is 1 if neither is known and hits are not much slower than at the best cache.
-    fn slowness(&self, other_routers: f64, configured_capacity: f64) -> f64 {
-        let capacity = if self.capacity > 0.0 { self.capacity } else { configured_capacity };
-        let slowdown = if self.slowdown > TOLERATED_SLOWDOWN { self.slowdown } else { 1.0 };
-        if capacity > 0.0 { (self.total_transfers(other_routers) / capacity).max(slowdown) } else { slowdown }
-    }
-
-    /// Updates the learnt capacity of the link from the relative pace of a transfer: at once while the link is full,
-    /// and slowly upwards while it is not.
-    fn record_pace(&mut self, other_routers: f64, pace: f64, congested_pace: f64) {
-        let observed_capacity = (self.total_transfers(other_routers) * pace).max(MIN_LINK_CAPACITY);
-        if pace < congested_pace {
-            self.capacity = if self.capacity > 0.0 {
-                moving_average(self.capacity, observed_capacity, SAMPLE_WEIGHT)
-            } else {
-                observed_capacity
-            };
-        } else if self.capacity > 0.0 && pace > CONGESTED_PACE && observed_capacity > self.capacity {
-            self.capacity = moving_average(self.capacity, observed_capacity, CAPACITY_RISE_WEIGHT);
-        }
-    }
-
-    fn update_mean(&mut self) {
-        self.mean_in_flight = moving_average(
-            self.mean_in_flight,
-            self.in_flight,
-            WAKEUP_INTERVAL.div_duration_f64(LINK_LOAD_MEAN_TIME),
-        );
-    }
-}
-
-fn moving_average(mean: f64, sample: f64, weight: f64) -> f64 {
+pub(crate) fn moving_average(mean: f64, sample: f64, weight: f64) -> f64 {
     mean + weight * (sample - mean)
 }
 
-impl HostState {
-    pub(crate) fn is_active(&self) -> bool {
-        self.entry.status == HostStatus::Active
-    }
-
-    pub(crate) fn has_failed(&self) -> bool {
-        count_recent(self.recent_failures, JUDGED_OUTCOMES) > JUDGED_OUTCOMES / 2
-    }
-
-    /// Whether the host takes GETs. A failed host takes one trial at a time after its backoff. A silent host, with an
-    /// overdue forward and no answer since, is skipped. Forwards in flight to it are not withdrawn, since a fill may
-    /// still be running and a second one would cost the source twice.
-    pub(crate) fn is_usable(&self, now: Duration) -> bool {
-        let is_silent = self.link.in_flight > 0.0 && now >= self.answer_due;
-        self.is_active()
-            && !is_silent
-            && (!self.has_failed() || now >= self.backoff_until && self.link.in_flight == 0.0)
-    }
-
-    /// Records the end of a fill from this host. Returns whether the host is congested.
-    fn record_fill(&mut self, outcome: &FillOutcome, now: Duration) -> bool {
-        self.fill_limiter.on_completed(self.fills_in_flight, outcome, now)
-    }
-
-    /// Records an outcome by which the host's health is judged. This protects GETs from dead, silent and unreachable
-    /// hosts, and from cold ones that refuse work. It does harm to hosts that are only overloaded.
-    fn record_outcome(&mut self, now: Duration, success: bool) {
-        let had_failed = self.has_failed();
-        self.recent_failures = self.recent_failures << 1 | u32::from(!success);
-        if success {
-            if had_failed && now.saturating_sub(self.last_success) > ASSUMED_RESTART_AFTER {
-                self.recovered_at = now;
-            }
-            (self.last_success, self.failed_trials) = (now, 0);
-        } else if self.has_failed() && (!had_failed || now >= self.backoff_until) {
-            self.backoff_until = now + INITIAL_BACKOFF * (1 << self.failed_trials);
-            self.failed_trials = (self.failed_trials + 1).min(2);
-        }
-    }
-}
-
 impl Router {
     /// Creates a router. `seed` starts its random numbers.
     pub fn new(settings: &Settings, seed: u64) -> Result<Self, String> {
