Polls of replicas and of the change log read from one kind of connection

LongPollClient held the connection, the reader and the closed flag that PollConnection holds, with the same flush, read and parse: it uses PollConnection now, which has a module of its own. The proofs of faults counted their verdicts in three copies of one tail (Verdict). The slice of a replica's log had a fallback that could not be reached any more. One test loop over two equal constants and two equal arms of a match are one each; is_origin is used where its condition stood written out.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,9 +4,9 @@
 //! Modules without I/O: `lease` (how long the published state holds), `resource_cache` (the published resources),
 //! `ads_server` (the state of all ADS streams), `load_reports` (the reports of proxies), `fleet` (the hosts, purges and
 //! the decision module), `messages` (encoding and decoding of the published messages), `follower` (the core of a proxy
-//! that follows a control service), `session` (the streams of a follower), `zone_controller` (verdicts on zones). Modules with
-//! I/O: `service` (the event loop), `grpc` (the published services, on tokio on a thread of its own), `client_status`
-//! (status for operators).
+//! that follows a control service), `session` (the streams of a follower), `zone_controller` (verdicts on zones).
+//! Modules with I/O: `service` (the event loop), `grpc` (the published services, on tokio on a thread of its own),
+//! `client_status` (status for operators).
 
 pub mod ads_server;
 pub mod client_status;
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -113,6 +113,33 @@
     stand::run(prove(plan))
 }
 
+/// Whether all runs so far held, and whether the machine was idle enough to judge those that did not.
+struct Verdict {
+    held: bool,
+    judged: bool,
+}
+
+impl Default for Verdict {
+    fn default() -> Self {
+        Self { held: true, judged: true }
+    }
+}
+
+impl Verdict {
+    /// Counts a run. If it did not hold, prints the command that plays it again, with these arguments.
+    fn add(&mut self, found: &Found, arguments: &str) {
+        if !found.holds() {
+            println!("replay: {}", replay(arguments));
+        }
+        self.held &= found.holds();
+        self.judged &= found.holds() || found.lag < TOO_BUSY;
+    }
+
+    fn exit_code(&self) -> ExitCode {
+        stand::verdict(self.held, self.judged)
+    }
+}
+
 async fn prove(plan: &Plan) -> Result<ExitCode, String> {
     if let Some(seeds) = plan.soak {
         return prove_drawn(plan, plan.seed..plan.seed + seeds).await;
@@ -121,7 +148,7 @@
         return prove_news(plan, plan.seed..plan.seed + seeds).await;
     }
     let cases = plan.case.map_or_else(|| Case::value_variants().to_vec(), |case| vec![case]);
-    let (mut held, mut judged) = (true, true);
+    let mut verdict = Verdict::default();
     for case in cases {
         let scale = plan.scale();
         let events = cases::events(case, scale.dispatchers);
@@ -129,18 +156,14 @@
         let name = case.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned());
         let found = play(scale, plan.demand(), &events, After::Warm).await?;
         found.print(&name, plan.seed, &events);
-        if !found.holds() {
-            println!("replay: {}", replay(&format!("--seed {} --case {name}", plan.seed)));
-        }
-        held &= found.holds();
-        judged &= found.holds() || found.lag < TOO_BUSY;
+        verdict.add(&found, &format!("--seed {} --case {name}", plan.seed));
     }
-    Ok(stand::verdict(held, judged))
+    Ok(verdict.exit_code())
 }
 
 /// Plays the schedules of some seeds, one after another.
 async fn prove_drawn(plan: &Plan, seeds: std::ops::Range<u64>) -> Result<ExitCode, String> {
-    let (mut held, mut judged) = (true, true);
+    let mut verdict = Verdict::default();
     for seed in seeds {
         let (drawn, requests_per_second) = soak::scale(seed, plan.quick, plan.terms());
         let scale = Scale { without: plan.without, ..drawn };
@@ -148,34 +171,26 @@
         let events = select(soak::draw(&scale), &plan.only);
         let found = play(scale, demand, &events, After::Healed).await?;
         found.print("soak", seed, &events);
-        if !found.holds() {
-            println!("replay: {}", replay(&format!("--seed {seed} --soak 1")));
-            if plan.reduce {
-                reduce(scale, demand, events).await?;
-            }
+        verdict.add(&found, &format!("--seed {seed} --soak 1"));
+        if !found.holds() && plan.reduce {
+            reduce(scale, demand, events).await?;
         }
-        held &= found.holds();
-        judged &= found.holds() || found.lag < TOO_BUSY;
     }
-    Ok(stand::verdict(held, judged))
+    Ok(verdict.exit_code())
 }
 
 /// Plays the schedules of trouble with the change log of some seeds, one after another.
 async fn prove_news(plan: &Plan, seeds: std::ops::Range<u64>) -> Result<ExitCode, String> {
-    let (mut held, mut judged) = (true, true);
+    let mut verdict = Verdict::default();
     for seed in seeds {
         // The ledger counts a drain as told to all once it is told to one.
         let scale = Scale { dispatchers: 1, seed, ..plan.scale() };
         let events = select(news::draw(seed, plan.quick), &plan.only);
         let found = play(scale, plan.demand(), &events, After::Obeyed).await?;
         found.print("news", seed, &events);
-        if !found.holds() {
-            println!("replay: {}", replay(&format!("--seed {seed} --news 1")));
-        }
-        held &= found.holds();
-        judged &= found.holds() || found.lag < TOO_BUSY;
+        verdict.add(&found, &format!("--seed {seed} --news 1"));
     }
-    Ok(stand::verdict(held, judged))
+    Ok(verdict.exit_code())
 }
 
 /// The command that plays one run of this program's again: its arguments, with the seed and the schedule of that run.
--- a/crates/replication/src/compacted_log.rs
+++ b/crates/replication/src/compacted_log.rs
@@ -163,7 +163,7 @@
         let mut data = self.data.range(above..).peekable();
         let mut members =
             self.members.range(above..).take_while(|_| audience == Audience::Replicas).peekable();
-        let mut events = Vec::new();
+        let mut events: Vec<Event> = Vec::new();
         let mut bytes = 0;
         loop {
             let next = match (data.peek(), members.peek()) {
@@ -178,8 +178,9 @@
                 continue;
             };
             bytes += entry.json_bytes;
-            if !events.is_empty() && (events.len() >= limits.records || bytes > limits.bytes) {
-                let last_returned = events.last().map_or(since, |event: &Event| event.seq);
+            if let Some(&Event { seq: last_returned, .. }) = events.last()
+                && (events.len() >= limits.records || bytes > limits.bytes)
+            {
                 return LogSlice { events, seq: last_returned, more: true };
             }
             events.push(Event { seq, record: entry.record.clone() });
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -1,8 +1,8 @@
 //! Long-poll client of the change log. It polls again immediately after an answer. If an answer is overdue, it polls on
 //! another connection as well and takes the answer that comes first.
 
-pub use crate::overdue_polls::CONNECTION_LOST;
-use crate::overdue_polls::{OverduePolls, PollConnection, ReadAnswer, SentPoll};
+use crate::overdue_polls::{OverduePolls, SentPoll};
+use crate::poll_connection::{PollConnection, ReadAnswer};
 use crate::protocol::changelog_answer::{AnswerPart, AnswerReader};
 use crate::protocol::{StreamError, changelog};
 use crate::transport::{Connection, EventLoopHandle, ReadinessHandler, ResourceUsage};
@@ -39,6 +39,8 @@
 
 /// No connection to the change log could be established.
 pub const CANNOT_CONNECT: StreamError = StreamError("cannot connect to the change log");
+/// The connection was lost before an answer was complete.
+pub const CONNECTION_LOST: StreamError = StreamError("connection to the change log lost");
 
 /// Long-poll client of the change log, with the sequence number of the last applied event.
 pub struct ChangeLogClient<O: ReadinessHandler> {
@@ -310,7 +312,7 @@
             .iter_mut()
             .position(|(_, attempt)| matches!(attempt.is_connected(), Ok(true)));
         if let Some((_, connection)) = established.and_then(|index| self.connect_attempts.remove(index)) {
-            self.connection = Some(PollConnection::new(connection));
+            self.connection = Some(PollConnection::new(connection, CONNECTION_LOST));
             self.connect_attempts.clear();
             (self.is_new, self.deadline) = (true, now);
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod host_registry;
 pub mod long_poll;
 mod overdue_polls;
+mod poll_connection;
 pub mod protocol;
 pub mod transport;
--- a/crates/wire/src/long_poll.rs
+++ b/crates/wire/src/long_poll.rs
@@ -2,9 +2,10 @@
 //! and the timeout. The platform's change log is polled by `change_log_client`, with its own rules for timeouts and
 //! retries.
 
+use crate::poll_connection::PollConnection;
 use crate::protocol::changelog_answer::AnswerReader;
 use crate::protocol::{StreamError, changelog};
-use crate::transport::{Connection, EventLoopHandle, ReadOutcome, ReadinessHandler, ResourceUsage};
+use crate::transport::{Connection, EventLoopHandle, ReadinessHandler, ResourceUsage};
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,13 +20,9 @@
     host: String,
     /// The key under which the handler is notified.
     key: O::Key,
-    connection: Option<Connection<O>>,
-    /// The answer that is read on the connection.
-    reader: AnswerReader,
+    connection: Option<PollConnection<O>>,
     /// When the outstanding poll times out, if there is one.
     timeout_at: Option<Duration>,
-    /// The peer has closed the connection. The bytes received before may still be a complete answer.
-    is_peer_closed: bool,
     /// The reason why the outstanding poll has failed.
     failure: Option<StreamError>,
 }
@@ -33,16 +30,7 @@
 impl<O: ReadinessHandler> LongPollClient<O> {
     /// Creates a client that has not polled yet.
     pub fn new(address: SocketAddr, key: O::Key) -> Self {
-        Self {
-            address,
-            host: address.to_string(),
-            key,
-            connection: None,
-            reader: AnswerReader::default(),
-            timeout_at: None,
-            is_peer_closed: false,
-            failure: None,
-        }
+        Self { address, host: address.to_string(), key, connection: None, timeout_at: None, failure: None }
     }
 
     /// The address of the replica.
@@ -76,7 +64,7 @@
         self.timeout_at = Some(timeout_at);
         self.failure = None;
         let request = changelog::poll_request_with_query(&self.host, format_args!("{query}"));
-        let is_sent = self.connection.as_mut().is_some_and(|connection| {
+        let is_sent = self.connection.as_mut().is_some_and(|PollConnection { connection, .. }| {
             connection.enqueue(request.clone());
             connection.flush().is_ok()
         });
@@ -96,7 +84,7 @@
         match Connection::connect(event_loop, self.address, self.key, resource_usage) {
             Ok(mut connection) => {
                 connection.enqueue(request);
-                self.connection = Some(connection);
+                self.connection = Some(PollConnection::new(connection, CONNECTION_LOST));
             }
             Err(_) => self.failure = Some(CONNECTION_REFUSED),
         }
@@ -111,7 +99,7 @@
     /// Reads and writes as much as possible. Returns whether there may be more to read.
     pub fn on_ready(&mut self, read_buffer: &mut [u8]) -> bool {
         let Some(connection) = &mut self.connection else { return false };
-        match connection.is_connected() {
+        match connection.connection.is_connected() {
             Ok(true) => {}
             Ok(false) => return false,
             Err(_) => {
@@ -119,15 +107,11 @@
                 return false;
             }
         }
-        let outcome = match connection.flush() {
-            Ok(()) => connection.read(read_buffer, MAX_READ_BYTES),
-            Err(_) => ReadOutcome::Closed,
-        };
-        self.is_peer_closed |= outcome == ReadOutcome::Closed;
-        if self.is_peer_closed && !self.is_pending() {
+        let has_more = connection.on_ready(read_buffer, MAX_READ_BYTES);
+        if connection.is_peer_closed() && !self.is_pending() {
             self.disconnect();
         }
-        outcome == ReadOutcome::More
+        has_more
     }
 
     /// The result of the outstanding poll, returned once: the body of the answer or the reason of the failure.
@@ -137,7 +121,7 @@
         match answer {
             Ok(Some(body)) => {
                 self.timeout_at = None;
-                if self.is_peer_closed {
+                if self.connection.as_ref().is_some_and(PollConnection::is_peer_closed) {
                     // The peer closed the connection after its answer, so the next poll needs a new one.
                     self.disconnect();
                 }
@@ -159,10 +143,7 @@
         if let Some(failure) = self.failure.take() {
             return Err(failure);
         }
-        let Self { connection, reader, is_peer_closed, .. } = self;
-        let Some(connection) = connection else { return Err(CONNECTION_LOST) };
-        let body = connection.parse(|inbound| reader.next_whole(inbound, *is_peer_closed))?;
-        if body.is_none() && *is_peer_closed { Err(CONNECTION_LOST) } else { Ok(body) }
+        self.connection.as_mut().ok_or(CONNECTION_LOST)?.parse(AnswerReader::next_whole)
     }
 
     fn fail(&mut self, error: StreamError) {
@@ -172,8 +153,6 @@
 
     fn disconnect(&mut self) {
         self.connection = None;
-        self.reader = AnswerReader::default();
-        self.is_peer_closed = false;
     }
 }
 
--- a/crates/wire/src/overdue_polls.rs
+++ b/crates/wire/src/overdue_polls.rs
@@ -1,10 +1,8 @@
 //! Polls of the change log that are overdue. Another poll has been sent in their place, but their answers are still
 //! taken, since a slow change log is not a dead connection.
 
-use crate::protocol::StreamError;
-use crate::protocol::changelog_answer::AnswerReader;
-use crate::transport::{Connection, ReadOutcome, ReadinessHandler};
-use bytes::BytesMut;
+use crate::poll_connection::{PollConnection, ReadAnswer};
+use crate::transport::ReadinessHandler;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -12,59 +10,6 @@
 /// than the change log may hold one back.
 pub(crate) const MAX_OVERDUE_POLLS: usize = 3;
 
-/// The connection was lost before an answer was complete.
-pub const CONNECTION_LOST: StreamError = StreamError("connection to the change log lost");
-
-/// A connection to the change log with the answer that is read on it.
-pub(crate) struct PollConnection<O: ReadinessHandler> {
-    pub connection: Connection<O>,
-    reader: AnswerReader,
-    /// The peer has closed the connection. The bytes received before may still be a complete answer.
-    is_peer_closed: bool,
-}
-
-impl<O: ReadinessHandler> PollConnection<O> {
-    pub fn new(connection: Connection<O>) -> Self {
-        Self { connection, reader: AnswerReader::default(), is_peer_closed: false }
-    }
-
-    /// Reads and writes as much as possible, up to a limit. Returns whether there may be more to read.
-    pub fn on_ready(&mut self, read_buffer: &mut [u8], max_bytes: usize) -> bool {
-        let outcome = match self.connection.flush() {
-            Ok(()) => self.connection.read(read_buffer, max_bytes),
-            Err(_) => ReadOutcome::Closed,
-        };
-        self.is_peer_closed |= outcome == ReadOutcome::Closed;
-        outcome == ReadOutcome::More
-    }
-
-    /// Applies `read` to the bytes that were read.
-    ///
-    /// # Errors
-    /// The answer is invalid, or the connection is lost before the answer is complete.
-    pub fn parse<T>(&mut self, read: ReadAnswer<T>) -> Result<Option<T>, StreamError> {
-        let Self { connection, reader, is_peer_closed } = self;
-        let parsed = connection.parse(|inbound| read(reader, inbound, *is_peer_closed))?;
-        if parsed.is_none() && *is_peer_closed {
-            return Err(CONNECTION_LOST);
-        }
-        Ok(parsed)
-    }
-
-    pub fn is_peer_closed(&self) -> bool {
-        self.is_peer_closed
-    }
-
-    /// Whether a part of an answer has arrived.
-    fn has_begun_answer(&self) -> bool {
-        self.reader.has_begun() || self.connection.unparsed_bytes() > 0
-    }
-}
-
-/// How an answer is read: by its parts or as a whole. The last argument tells whether the peer has closed the
-/// connection.
-pub(crate) type ReadAnswer<T> = fn(&mut AnswerReader, &mut BytesMut, bool) -> Result<Option<T>, StreamError>;
-
 /// An overdue poll on a connection of its own.
 pub(crate) struct SentPoll<O: ReadinessHandler> {
     pub connection: PollConnection<O>,
--- a/src/host_list.rs
+++ b/src/host_list.rs
@@ -73,7 +73,9 @@
     /// Takes one entry of the host list.
     fn update_host(&mut self, entry: &HostEntry, kind: ListUpdate, now: Duration) {
         self.hosts.resize(self.hosts.len().max(entry.host + 1), HostState::default());
-        let (sharers, host) = (self.site.source_sharers(self.is_parent(entry)), &mut self.hosts[entry.host]);
+        let sharers = self.site.source_sharers(self.is_parent(entry));
+        let has_other_users = self.is_origin(entry) && self.site.has_fill_notes;
+        let host = &mut self.hosts[entry.host];
         let is_new = host.entry.id_hash != entry.id_hash;
         if is_new {
             *host = HostState::default();
@@ -95,7 +97,6 @@
             ) = Default::default();
         }
         host.entry = *entry;
-        let has_other_users = entry.kind == self.site.origin_kind && self.site.has_fill_notes;
         host.fill_limiter.start(sharers, has_other_users, self.rng.f64(), now);
     }
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -103,9 +103,9 @@
     ));
     let mut reader = AnswerReader::default();
     let mut inbound = BytesMut::from(&format!("HTTP/1.1 200 OK\r\n\r\n{body}")[..]);
-    for is_change in [true, true] {
+    for _ in 0..2 {
         let part = reader.next_part(&mut inbound, false).unwrap();
-        assert_eq!(matches!(part, Some(AnswerPart::Change(_))), is_change);
+        assert!(matches!(part, Some(AnswerPart::Change(_))), "{part:?}");
     }
     assert_eq!(reader.next_part(&mut inbound, false), Ok(None), "the connection's close ends the answer");
     assert_eq!(reader.next_part(&mut inbound, true), Ok(Some(AnswerPart::End)));
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -70,8 +70,9 @@
     for &poll in polls {
         events.push((poll.sent_at, 0, poll));
         match poll.fate {
-            Fate::Answered { after_ms } => events.push((poll.sent_at + ms(after_ms), 1, poll)),
-            Fate::Lost { after_ms } => events.push((poll.sent_at + ms(after_ms), 1, poll)),
+            Fate::Answered { after_ms } | Fate::Lost { after_ms } => {
+                events.push((poll.sent_at + ms(after_ms), 1, poll));
+            }
             Fate::Unanswered => {}
         }
     }
