Review case 7: a crowd of bad clients takes the dispatcher over its memory limit

Change: the case with its claim and script, and its stand-in. It takes the place of the case on replicas, which breaks the same rule as the one on the control service. The others move, the gravest first: SIGHUP is 8 now, the control service 9, the abandoned call 10.

--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -87,6 +87,11 @@
         Ok(Self(shell.spawn()?))
     }
 
+    /// Its id, which is that of the program: the commands end in `exec`.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.0.id())).status();
@@ -505,10 +510,14 @@
 ///
 /// Called again, it replaces the file: the known events are those of then.
 pub fn write_config(listen: SocketAddr, log: &ChangeLog) -> PathBuf {
+    write_config_with(listen, log, 128, 512)
+}
+
+fn write_config_with(listen: SocketAddr, log: &ChangeLog, memory_mb: u64, sockets: u64) -> PathBuf {
     let state = log.state.0.lock().expect("no holder panics");
     let known = format!("{{\"seq\":{},\"results\":[{}]}}", state.events.len(), state.events.join(","));
     let text = format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":128,"sockets":512}},
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
  "changelog":"{}","flow_bytes_per_s":8000000,"link_bytes_per_s":100000000,"known":{known},"settings":{SETTINGS}}}"#,
         log.address
     );
@@ -519,7 +528,18 @@
 
 /// Starts a dispatcher by the deploy file and waits until it listens.
 pub fn start_dispatcher(record: &Record, listen: SocketAddr, log: &ChangeLog) -> Process {
-    let config = write_config(listen, log);
+    start_dispatcher_with(record, listen, log, 128, 512)
+}
+
+/// The same with limits on memory and descriptors.
+pub fn start_dispatcher_with(
+    record: &Record,
+    listen: SocketAddr,
+    log: &ChangeLog,
+    memory_mb: u64,
+    sockets: u64,
+) -> Process {
+    let config = write_config_with(listen, log, memory_mb, sockets);
     let config = config.to_string_lossy();
     let variables = [
         ("ROUTER_CONFIG", &*config),
@@ -553,21 +573,27 @@
     out.extend_from_slice(content);
 }
 
-/// Sends one request on a new connection and waits for its answer.
-pub fn fastcgi(address: SocketAddr, params: &[(&str, &str)], wait: Duration) -> io::Result<Answer> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(wait))?;
-    let (mut out, mut pairs) = (Vec::new(), Vec::new());
+/// Writes a request without a body.
+pub fn write_request(out: &mut Vec<u8>, number: u16, params: &[(&str, &str)]) {
+    let mut pairs = Vec::new();
     for (name, value) in params {
         pairs.extend_from_slice(&[name.len() as u8, value.len() as u8]);
         pairs.extend_from_slice(name.as_bytes());
         pairs.extend_from_slice(value.as_bytes());
     }
-    record_bytes(&mut out, 1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]);
-    record_bytes(&mut out, 4, 1, &pairs);
-    record_bytes(&mut out, 4, 1, &[]);
-    record_bytes(&mut out, 5, 1, &[]);
+    record_bytes(out, 1, number, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    record_bytes(out, 4, number, &pairs);
+    record_bytes(out, 4, number, &[]);
+    record_bytes(out, 5, number, &[]);
+}
+
+/// Sends one request on a new connection and waits for its answer.
+pub fn fastcgi(address: SocketAddr, params: &[(&str, &str)], wait: Duration) -> io::Result<Answer> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(wait))?;
+    let mut out = Vec::new();
+    write_request(&mut out, 1, params);
     stream.write_all(&out)?;
     let mut bytes = Vec::new();
     loop {
