--- a/review/stand-2/case.sh
+++ b/review/stand-2/case.sh
@@ -6,9 +6,8 @@
 export LC_ALL=C
 ROOT=$(cd ../.. && pwd)
 RECORD=$(pwd)/record.txt
-TROUBLE=${TROUBLE:-1}
 RUN_COMMAND=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$ROOT/deploy/balancer.toml")
-export ROOT RECORD TROUBLE RUN_COMMAND
+export ROOT RECORD RUN_COMMAND
 
 run_case() {
     program=$ROOT/review/stand-2/target/release/$1
