Client library: a call whose attempt is out when its budget ends may have run

Cause: Round::give_up looked at may_have_run, which only the end of an attempt sets. A call past its deadline was finished with its attempt still in flight. Besides, Driver::abort left a request that had not begun to leave in the queue and sent its abort behind it, so that a call told as without effect was sent whole afterwards.

Fix: the attempt in flight is ended before the outcome is chosen. The driver withdraws a request of which no byte has left, and only then says that it can't arrive whole; otherwise the attempt counts as one that may have run. How far requests got is judged by their messages, not by byte positions, which a withdrawn message would shift. Connection::enqueued_bytes has no user any more.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -33,11 +33,28 @@
     connection: Connection<ReadyConnections>,
     is_connected: bool,
     responses: ResponseReader,
-    /// Requests in flight: number, call, and position of the last byte among all bytes written to the connection.
-    open: Vec<(u16, CallId, u64)>,
+    open: Vec<SentRequest>,
+    /// Numbers of requests that were aborted and have not ended yet.
     aborted: Vec<u16>,
 }
 
+/// A request in flight on a connection.
+struct SentRequest {
+    /// The FastCGI request id.
+    number: u16,
+    call: CallId,
+    /// The number of its message on the connection.
+    message: u64,
+}
+
+impl Link {
+    /// Removes a request from those in flight.
+    fn take_open(&mut self, number: u16) -> Option<SentRequest> {
+        let index = self.open.iter().position(|request| request.number == number)?;
+        Some(self.open.swap_remove(index))
+    }
+}
+
 /// A call with its arguments and its answer.
 struct SubmittedCall {
     ticket: Ticket,
@@ -145,19 +162,24 @@
             params.push(("HTTP_X_TRY", attempt.as_bytes()));
         }
         fastcgi_client::write_request(&mut self.write_buffer, number, &params, &get.body);
-        link_state.connection.enqueue(self.write_buffer.split().freeze());
-        link_state.open.push((number, call, link_state.connection.enqueued_bytes()));
+        let message = link_state.connection.enqueue(self.write_buffer.split().freeze());
+        link_state.open.push(SentRequest { number, call, message });
         let _ = link_state.connection.flush();
     }
 
-    fn abort(&mut self, connection_id: ConnectionId, number: u16) {
-        let Some(link_state) = self.links.get_mut(&connection_id) else { return };
-        link_state.open.retain(|(open_number, ..)| *open_number != number);
+    fn abort(&mut self, connection_id: ConnectionId, number: u16) -> Reached {
+        let Some(link_state) = self.links.get_mut(&connection_id) else { return Reached::Whole };
+        let request = link_state.take_open(number);
+        if request.is_some_and(|request| link_state.connection.cancel_unsent(request.message)) {
+            return Reached::NotWhole;
+        }
+        // The rest of a partly written request follows, since other requests are behind it, so that it may become whole.
         link_state.responses.discard(number);
         link_state.aborted.push(number);
         fastcgi_client::write_abort(&mut self.write_buffer, number);
         link_state.connection.enqueue(self.write_buffer.split().freeze());
         let _ = link_state.connection.flush();
+        Reached::Whole
     }
 
     fn close(&mut self, connection_id: ConnectionId) {
@@ -169,7 +191,7 @@
         self.call_ids.remove(&pending.ticket);
         let outcome = match outcome {
             // The answer was stored with the call before the core was notified.
-            CallOutcome::Returned => pending.answer.map_or(Outcome::Errored, Outcome::Returned),
+            CallOutcome::Returned => pending.answer.map_or(Outcome::MayHaveRun, Outcome::Returned),
             CallOutcome::Shed { reason, retry_after } => Outcome::Shed { reason, retry_after },
             CallOutcome::Errored => Outcome::Errored,
             CallOutcome::MayHaveRun => Outcome::MayHaveRun,
@@ -374,9 +396,8 @@
     loop {
         let Some(link_state) = round.sink().links.get_mut(&connection_id) else { return Ok(false) };
         let Link { connection, responses, open, aborted, .. } = link_state;
-        let is_known = |number: u16| {
-            open.iter().any(|(open_number, ..)| *open_number == number) || aborted.contains(&number)
-        };
+        let is_known =
+            |number: u16| open.iter().any(|request| request.number == number) || aborted.contains(&number);
         match connection.parse(|inbound| responses.next_response(inbound, is_known)) {
             Ok(Some(response)) => on_response(round, connection_id, response),
             Ok(None) if aborted.len() > MAX_ABORTED_REQUESTS => return Err(End::Spoilt),
@@ -400,10 +421,7 @@
         link_state.aborted.swap_remove(index);
         return;
     }
-    let Some(index) = link_state.open.iter().position(|(number, ..)| *number == response.number) else {
-        return;
-    };
-    let (number, call, _) = link_state.open.swap_remove(index);
+    let Some(SentRequest { number, call, .. }) = link_state.take_open(response.number) else { return };
     let answer = match response.status {
         Some(200) => DispatcherAnswer::Returned,
         None | Some(429 | 503) => {
@@ -423,13 +441,9 @@
 /// Reports the end of a connection to the core, with how far the bytes of each request got.
 fn report_connection_lost(round: &mut Round<'_, Driver>, connection_id: ConnectionId, end: End) {
     let Some(link_state) = round.sink().links.get(&connection_id) else { return };
-    let written_bytes = link_state.connection.written_bytes();
-    let fully_sent: Vec<u16> = link_state
-        .open
-        .iter()
-        .filter(|(.., last_byte)| written_bytes >= *last_byte)
-        .map(|(number, ..)| *number)
-        .collect();
+    let is_written = |request: &&SentRequest| link_state.connection.is_written(request.message);
+    let fully_sent: Vec<u16> =
+        link_state.open.iter().filter(is_written).map(|request| request.number).collect();
     round.on_connection_lost(connection_id, end, |number| {
         if fully_sent.contains(&number) { Reached::Whole } else { Reached::NotWhole }
     });
--- a/crates/client/src/decide.rs
+++ b/crates/client/src/decide.rs
@@ -74,7 +74,9 @@
         attempt_id: AttemptId,
         remaining: Duration,
     );
-    fn abort(&mut self, connection: ConnectionId, number: u16);
+    /// Ends an attempt that nobody waits for any more: withdraws its request if no byte of it was sent, else tells the
+    /// dispatcher to abort it. Returns `NotWhole` only if the request can't reach the dispatcher whole any more.
+    fn abort(&mut self, connection: ConnectionId, number: u16) -> Reached;
     /// Closes a connection. Its id may be reused afterwards.
     fn close(&mut self, connection: ConnectionId);
     /// Reports the one outcome of a call. Its id may be reused afterwards. The bytes of a returned answer are with the
@@ -456,16 +458,23 @@
         let Some(failed_call) = core.calls.get_mut(call) else { return };
         failed_call.in_flight = None;
         failed_call.last_failure = Some((end, reached, dispatcher));
-        let may_have_run = reached == Reached::Whole && end != End::Shed;
-        if may_have_run && failed_call.may_have_run.is_none() {
-            failed_call.may_have_run = Some((core.dispatchers[dispatcher].dispatcher.group, sent_at));
+        let scope = retry_scope(core.services[failed_call.service].effect, end, reached);
+        if reached == Reached::Whole && end != End::Shed {
+            self.record_possible_run(call, dispatcher, sent_at);
         }
-        if retry_scope(core.services[failed_call.service].effect, end, reached) == RetryScope::Never {
+        if scope == RetryScope::Never {
             return self.finish(call, CallOutcome::MayHaveRun);
         }
         self.decide(call);
     }
 
+    /// Records that an attempt of a call, sent to a dispatcher at this time, may have run or may still run.
+    fn record_possible_run(&mut self, call: CallId, dispatcher: usize, sent_at: Duration) {
+        let core = &mut *self.core;
+        let group = core.dispatchers[dispatcher].dispatcher.group;
+        core.calls[call].may_have_run.get_or_insert((group, sent_at));
+    }
+
     /// Whether the effect of a call allows it to go to a dispatcher.
     fn may_be_sent_to(&self, call: CallId, dispatcher: usize) -> bool {
         let (core, checked) = (&*self.core, &self.core.calls[call]);
@@ -604,8 +613,9 @@
         self.sink.send(connection, number, call, attempt_id, remaining);
     }
 
-    /// Finishes a call that was not returned.
+    /// Finishes a call that was not returned. Its attempt in flight, if there is one, may have run unless it was withdrawn.
     fn give_up(&mut self, call: CallId, reason: ShedReason) {
+        self.abort_attempt(call);
         let (core, failed_call) = (&*self.core, &self.core.calls[call]);
         let effect = core.services[failed_call.service].effect;
         if failed_call.may_have_run.is_some() && effect != Effect::Idempotent {
@@ -639,19 +649,23 @@
 
     /// Removes a call and aborts its attempt in flight.
     fn remove_call(&mut self, call: CallId) {
+        self.abort_attempt(call);
         let core = &mut *self.core;
         let removed = core.calls.remove(call);
         core.deadlines.remove(&(removed.accepted_at + removed.budget, call));
         core.waiting.retain(|&waiting| waiting != call);
-        if let Some((connection, number)) = removed.in_flight {
-            let sent_on = core.connections.get_mut(connection);
-            let index = sent_on
-                .as_ref()
-                .and_then(|sent_on| sent_on.open.iter().position(|open| open.number == number));
-            if let (Some(sent_on), Some(index)) = (sent_on, index) {
-                sent_on.open.swap_remove(index);
-                self.sink.abort(connection, number);
-            }
+    }
+
+    /// Aborts a call's attempt in flight, if there is one, and records whether it may have run.
+    fn abort_attempt(&mut self, call: CallId) {
+        let core = &mut *self.core;
+        let Some((connection, number)) = core.calls[call].in_flight.take() else { return };
+        let Some(sent_on) = core.connections.get_mut(connection) else { return };
+        let Some(index) = sent_on.open.iter().position(|open| open.number == number) else { return };
+        let aborted = sent_on.open.swap_remove(index);
+        let dispatcher = sent_on.dispatcher;
+        if self.sink.abort(connection, number) == Reached::Whole {
+            self.record_possible_run(call, dispatcher, aborted.sent_at);
         }
     }
 
--- a/crates/client/src/terms.rs
+++ b/crates/client/src/terms.rs
@@ -51,16 +51,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Returned(Returned),
-    /// The GET has not run, and retrying it after the pause is harmless.
+    /// Retrying the GET after the pause is harmless. A GET with an effect has not run and will not.
     Shed {
         reason: ShedReason,
         retry_after: Duration,
     },
-    /// The GET was answered with a failure. A GET with an effect has not run.
+    /// The GET was answered with a failure. Only an idempotent GET may have run: the others end as `MayHaveRun` then.
     Errored,
-    /// It is unknown whether the GET has run. The caller must find out before it retries.
+    /// It is unknown whether the GET has run or will still run. The caller must find out before it retries.
     MayHaveRun,
-    /// The budget is over. The GET has no effect, whether or not it ran.
+    /// The budget is over. A GET with an effect has not run and will not: no attempt of it has left this machine whole, but
+    /// for those that were refused. An idempotent GET may have run.
     OutOfTime,
 }
 
--- a/crates/client/tests/decisions.rs
+++ b/crates/client/tests/decisions.rs
@@ -67,11 +67,12 @@
             attempt_id.attempt
         );
     }
-    fn abort(&mut self, connection: ConnectionId, number: u16) {
+    fn abort(&mut self, connection: ConnectionId, number: u16) -> Reached {
         self.in_flight.retain(|(open_connection, open_number, ..)| {
             (*open_connection, *open_number) != (connection, number)
         });
         let _ = writeln!(self.text, "{:>6} abort", self.now.as_millis());
+        Reached::Whole
     }
     fn close(&mut self, connection: ConnectionId) {
         self.connections.remove(&connection);
--- a/crates/client/tests/sockets.rs
+++ b/crates/client/tests/sockets.rs
@@ -22,6 +22,10 @@
     Answer(Vec<u8>),
     /// Reads requests and never answers.
     Silent,
+    /// Answers every request this much later.
+    AnswerAfter(Duration),
+    /// Reads nothing for this long, then reads requests and never answers.
+    ReadAfter(Duration),
     /// Reads a request, then writes records that belong to none for as long as they are taken.
     Flood,
     /// Refuses the first request after its client has aborted it, and answers later ones.
@@ -118,6 +122,19 @@
             }
             serve(stream, &Behaviour::Answer(OK_RESPONSE.into()), requests_read);
         }
+        Behaviour::AnswerAfter(delay) => {
+            while let Some(number) = read_request(&mut stream) {
+                requests_read.fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(*delay);
+                if stream.write_all(&answer(number, OK_RESPONSE)).is_err() {
+                    return;
+                }
+            }
+        }
+        Behaviour::ReadAfter(delay) => {
+            std::thread::sleep(*delay);
+            serve(stream, &Behaviour::Silent, requests_read);
+        }
         Behaviour::Silent => {
             while read_request(&mut stream).is_some() {
                 requests_read.fetch_add(1, Ordering::SeqCst);
@@ -128,9 +145,17 @@
 
 fn services() -> Vec<Service> {
     let service = |name: &str, effect| Service { name: name.into(), effect };
-    vec![service("video", Effect::Idempotent), service("confirm", Effect::NonIdempotent)]
+    vec![
+        service("video", Effect::Idempotent),
+        service("confirm", Effect::NonIdempotent),
+        service("order", Effect::Tokened { window: ms(2000) }),
+    ]
 }
 
+const VIDEO: usize = 0;
+const CONFIRM: usize = 1;
+const ORDER: usize = 2;
+
 fn get(service: usize, budget_ms: u64) -> Get {
     Get {
         service,
@@ -233,6 +258,73 @@
     assert!(elapsed < ms(500), "{elapsed:?}");
 }
 
+/// Guards against a call with an effect that is told as without effect although its request was sent: its budget ends while the
+/// answer is awaited.
+#[test]
+fn a_call_whose_answer_has_not_come_by_the_end_of_its_budget_may_have_run() {
+    let silent = ScriptedDispatcher::start(vec![Behaviour::Silent]);
+    let mut client = Client::new(services(), vec![silent.endpoint(0)], 5).unwrap();
+    let ends = [(CONFIRM, Outcome::MayHaveRun), (ORDER, Outcome::MayHaveRun), (VIDEO, Outcome::OutOfTime)];
+    for (service, expected) in ends.clone() {
+        // Shorter than the silence after which the connection counts as dead.
+        let (result, elapsed) = outcome(&mut client, get(service, 100));
+        assert_eq!(result, expected, "service {service}");
+        assert!(elapsed < ms(200), "{elapsed:?}");
+    }
+    assert_eq!(silent.requests_read.load(Ordering::SeqCst), ends.len());
+}
+
+/// Guards against the same with an answer that comes just before, at or just after the end of the budget.
+#[test]
+fn an_answer_around_the_end_of_the_budget_never_makes_a_call_with_an_effect_end_as_without_one() {
+    const BUDGET_MS: u64 = 60;
+    let mut ends = [0; 2];
+    for delay_ms in (BUDGET_MS - 20..BUDGET_MS + 20).step_by(2) {
+        for service in [CONFIRM, ORDER] {
+            let late = ScriptedDispatcher::start(vec![Behaviour::AnswerAfter(ms(delay_ms))]);
+            let mut client = Client::new(services(), vec![late.endpoint(0)], delay_ms).unwrap();
+            let (result, _) = outcome(&mut client, get(service, BUDGET_MS));
+            let is_returned = result == returned();
+            assert!(is_returned || result == Outcome::MayHaveRun, "{delay_ms} ms: {result:?}");
+            assert!(late.requests_read.load(Ordering::SeqCst) <= 1);
+            ends[usize::from(is_returned)] += 1;
+        }
+    }
+    assert!(ends.iter().all(|&count| count > 0), "{ends:?}");
+}
+
+/// Guards against a call that is told as without effect while its request still waits to be sent, and is sent afterwards.
+#[test]
+fn a_request_that_has_not_left_by_the_end_of_its_budget_is_never_sent() {
+    const CALLS: usize = 32;
+    // More than the buffers of the system take on both sides.
+    const BODY_BYTES: usize = 400_000;
+    let late = ScriptedDispatcher::start(vec![Behaviour::ReadAfter(ms(200))]);
+    let mut client = Client::new(services(), vec![late.endpoint(0)], 5).unwrap();
+    for _ in 0..CALLS {
+        client.ask(Get { body: vec![b'x'; BODY_BYTES].into(), ..get(CONFIRM, 100) });
+    }
+    let (mut without_effect, mut may_have_run) = (0, 0);
+    let started = Instant::now();
+    while started.elapsed() < ms(1200) {
+        client.turn(ms(5)).unwrap();
+        while let Some((_, outcome)) = client.next_outcome() {
+            match outcome {
+                Outcome::OutOfTime => without_effect += 1,
+                Outcome::MayHaveRun => may_have_run += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    let requests_read = late.requests_read.load(Ordering::SeqCst);
+    assert_eq!(without_effect + may_have_run, CALLS);
+    assert!(without_effect > 0 && requests_read > 0, "{without_effect} without effect, {requests_read} read");
+    assert!(
+        requests_read <= may_have_run,
+        "{requests_read} read, {may_have_run} told that they may have run"
+    );
+}
+
 #[test]
 fn a_dispatcher_that_refuses_all_calls_gets_none_during_the_requested_pause() {
     let text = b"Status: 503\r\nBack-Off-Ms: 400\r\n\r\n".to_vec();
--- a/crates/lab/src/client/crowd.rs
+++ b/crates/lab/src/client/crowd.rs
@@ -75,7 +75,9 @@
     fn send(&mut self, link: ConnectionId, number: u16, _: CallId, _: AttemptId, _: Duration) {
         self.ahead.put(self.now + WAY, Happens::Comes(self.client, link, number));
     }
-    fn abort(&mut self, _: ConnectionId, _: u16) {}
+    fn abort(&mut self, _: ConnectionId, _: u16) -> Reached {
+        Reached::Whole
+    }
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, end: CallOutcome) {
         self.done.push(end);
@@ -345,7 +347,9 @@
     fn send(&mut self, link: ConnectionId, number: u16, _: CallId, _: AttemptId, _: Duration) {
         self.sent.push((link, number));
     }
-    fn abort(&mut self, _: ConnectionId, _: u16) {}
+    fn abort(&mut self, _: ConnectionId, _: u16) -> Reached {
+        Reached::Whole
+    }
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, _: CallOutcome) {}
     fn record_resend(&mut self, _: &Resend) {}
--- a/crates/wire/src/transport/connection.rs
+++ b/crates/wire/src/transport/connection.rs
@@ -259,11 +259,6 @@
         }
     }
 
-    /// Total bytes queued so far, for a caller that cancels no messages.
-    pub fn enqueued_bytes(&self) -> u64 {
-        self.written_bytes + self.unsent_bytes as u64
-    }
-
     /// Total bytes handed to the operating system.
     pub fn written_bytes(&self) -> u64 {
         self.written_bytes
