Hosts: a reply is read into room of its own size, and buffers count as allocated

Cause: the account counted the bytes in buffers, and a buffer lives as long as any part of it. A reply was a slice of the buffer it was read into; its connection kept that buffer with its free half and read the next reply into it.

Fix: transport/inbound counts a buffer at its allocation. Once a reply's length is known, room of exactly that size is reserved, and what follows is read after it was taken (host_replies). Replies that came together are copied apart.

tests/parsers.rs takes replies by read_frame, since next_reply needs a connection now; its assertions stay, and one on the told length was added.

--- a/crates/cli/tests/bad_clients/main.rs
+++ b/crates/cli/tests/bad_clients/main.rs
@@ -14,16 +14,18 @@
 mod process;
 mod records;
 mod replaced;
+mod slow_readers;
 mod soak;
 
 use capacity_page::MemoryTable;
 use change_log::ChangeLog;
-use clients::{BadClients, Input, ask_for, connect, new_id, read_answer};
+use clients::{BadClients, Input, Served, ask_for, connect, new_id, read_answer};
 use fastrand::Rng;
 use host::{EFFECT_TIME, Host};
 use process::{Dispatcher, Limits, NARROW, host_line, host_lines, long_list};
 use records::{BEGIN, MAX_CONTENT, PARAMS, RESPONDER, STDIN, UNDEFINED, UNKNOWN_ROLE, record, request_of};
 use replaced::{ConnectionEnds, Order, Replacement, replace_origin};
+use slow_readers::SlowReaders;
 use std::io::Write;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::sleep;
@@ -111,6 +113,16 @@
     }
 }
 
+/// A list of these hosts, all of them caches and the first one the parent and the origin too.
+fn lines_of(hosts: &[Host]) -> Vec<serde_json::Value> {
+    let mut lines = host_lines(hosts[0].address, hosts[0].address);
+    let more = hosts.iter().enumerate().skip(1);
+    lines.extend(
+        more.map(|(n, host)| host_line(&format!("d{n}"), "standard", "edge", host.address, "active")),
+    );
+    lines
+}
+
 fn exclusively() -> impl Drop {
     MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -185,6 +197,35 @@
     assert!(effects.peak_memory < MAX_PEAK && effects.lost == 0, "{effects:?}");
 }
 
+/// Guards against answers that keep the buffers they were read into: clients that read large answers slowly took the memory
+/// over its limit, while the account held what it counts within its own.
+#[test]
+fn large_answers_that_clients_read_slowly_stay_within_the_memory_limit() {
+    const SLOW_READERS: usize = 20;
+    const OBJECT_BYTES: usize = 239_000;
+    let _machine = exclusively();
+    let narrow = |descriptors| Limits { descriptors, ..NARROW };
+    let ample = Limits { memory_mb: 64, descriptors: 512 };
+    let sizes = [(narrow(256), 17), (narrow(512), 17), (narrow(1024), 17), (narrow(512), 60), (ample, 17)];
+    let mut is_over = false;
+    for (limits, host_count) in sizes {
+        let change_log = ChangeLog::start();
+        let hosts: Vec<Host> = (0..host_count).map(|_| Host::start(OBJECT_BYTES)).collect();
+        let dispatcher = Dispatcher::start(limits, &lines_of(&hosts), &change_log);
+        let readers = SlowReaders::start(dispatcher.address, SLOW_READERS, MAX_OPEN);
+        let honest = ask_for(dispatcher.address, ASKING_TIME);
+        let peak_memory = dispatcher.peak_memory();
+        drop(readers);
+        let Served { latencies, not_returned, lost } = honest;
+        println!(
+            "{limits:?}, {host_count} hosts: peak {peak_memory:.2}; honest client: {} returned, {not_returned} not, {lost} lost",
+            latencies.len()
+        );
+        is_over |= peak_memory >= MAX_PEAK || lost > 0 || latencies.is_empty();
+    }
+    assert!(!is_over, "over the bounds, see above");
+}
+
 /// Guards against picture (b) of issue 65: one client's small or unsound requests at full speed, also under ever new names, kept
 /// other clients waiting, though it read the replies.
 #[test]
@@ -312,12 +353,7 @@
     let _machine = exclusively();
     let change_log = ChangeLog::start();
     let hosts: Vec<Host> = (0..HOSTS).map(|_| Host::start_pausing(230_000)).collect();
-    let mut lines = host_lines(hosts[0].address, hosts[0].address);
-    let more = hosts.iter().enumerate().skip(1);
-    lines.extend(
-        more.map(|(n, host)| host_line(&format!("d{n}"), "standard", "edge", host.address, "active")),
-    );
-    let dispatcher = Dispatcher::start(NARROW, &lines, &change_log);
+    let dispatcher = Dispatcher::start(NARROW, &lines_of(&hosts), &change_log);
     let mut clients: Vec<_> = (0..GETS / PER_CLIENT).map(|_| connect(dispatcher.address)).collect();
     for (client, first) in clients.iter_mut().zip((0..).step_by(PER_CLIENT.into())) {
         for number in 1..=PER_CLIENT {
--- a/crates/dispatcher/src/program/mod.rs
+++ b/crates/dispatcher/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The program around the router: its configuration file, read at the start and on SIGHUP, its event loop and its
 //! signals.
 
+mod allocator;
 mod start;
 mod usage;
 
@@ -52,6 +53,7 @@
     startup: Startup<'_>,
     reload_change_log: impl Fn() -> Result<SocketAddr, String> + 'static,
 ) -> Result<(), String> {
+    allocator::keep_memory_of_messages(startup.resource_limits.memory_bytes);
     let mut event_loop = EventLoop::<Dispatcher>::try_new()
         .map_err(|error| format!("cannot create the event loop: {error}"))?;
     let registration =
--- a/crates/dispatcher/src/routing/forwards.rs
+++ b/crates/dispatcher/src/routing/forwards.rs
@@ -9,6 +9,7 @@
 use myrtlegauge::interface::{
     DecisionSink, End, Forward, GetIndex, HostIndex, LoadReport, Note, Outcome, duration_from_ms,
 };
+use myrtlegauge_wire::host_replies::next_reply;
 use myrtlegauge_wire::protocol::{StreamError, resp};
 use std::cmp::Reverse;
 use std::fmt::Arguments;
@@ -253,7 +254,7 @@
         loop {
             let Self { links, in_flight, .. } = self;
             let link = links.get_mut(key)?;
-            let reply = match link.connection.parse(resp::next_reply) {
+            let reply = match next_reply(&mut link.connection) {
                 Ok(Some(reply)) => reply,
                 Ok(None) => {
                     let is_partial = link.connection.unparsed_bytes() > 0;
--- a/crates/dispatcher/src/routing/memory.rs
+++ b/crates/dispatcher/src/routing/memory.rs
@@ -26,6 +26,11 @@
 /// How long a client may read nothing of its output while the buffers are full: several round trips within a site.
 pub const MAX_UNREAD_TIME: Duration = Duration::from_millis(25);
 
+/// Bytes that the account may hold in a process with this memory limit.
+pub fn account_bytes(memory_bytes: usize) -> usize {
+    (memory_bytes as f64 * ACCOUNT_FRACTION) as usize
+}
+
 /// Limits of the account and what was done to keep them.
 #[derive(Debug, Default)]
 pub struct MemoryAccount {
@@ -44,7 +49,7 @@
 impl MemoryAccount {
     /// The account of a process with this memory limit.
     pub fn new(memory_bytes: usize) -> Self {
-        Self { max_bytes: (memory_bytes as f64 * ACCOUNT_FRACTION) as usize, ..Self::default() }
+        Self { max_bytes: account_bytes(memory_bytes), ..Self::default() }
     }
 
     fn actions(&self) -> u64 {
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -33,7 +33,7 @@
 use guards::Effect;
 pub use guards::{Guards, Rule};
 pub use log_budget::LogBudget;
-pub use memory::process_status;
+pub use memory::{account_bytes, process_status};
 use myrtlegauge::decide::{Round, Router};
 use myrtlegauge::interface::{ListUpdate, PurgeKey, Settings};
 use myrtlegauge::purge_news::PurgeNews;
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -98,8 +98,6 @@
     pub last_forward_serial: u64,
     /// Sources that the event loop reported as ready, and those with unread data.
     pub ready: ReadyQueue,
-    /// The connection to a host that is read in this iteration although the buffers are full.
-    pub completing_link: Option<ConnectionKey>,
     /// Connections to hosts with received bytes to parse.
     pub readable_links: VecDeque<ConnectionKey>,
     /// Client connections with received bytes to parse.
@@ -216,7 +214,6 @@
             clients: ConnectionSlab::new(),
             last_forward_serial: 0,
             ready: ReadyQueue::default(),
-            completing_link: None,
             readable_links: VecDeque::new(),
             readable_clients: VecDeque::new(),
             pending_writes: Vec::new(),
@@ -363,8 +360,7 @@
             || !self.zone_updates.is_empty()
             || self.new_router_count.is_some()
             || self.ready.iter().any(|source| !matches!(source, EventSource::Link(_)))
-            || self.ready.len() > 0 && !self.are_buffers_full()
-            || self.link_to_complete().is_some()
+            || self.has_readable_link()
         {
             return Duration::ZERO;
         }
--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -5,8 +5,9 @@
 use super::hosts::Link;
 use super::lifecycle::State;
 use super::proxy::{Proxy, SWEEP_INTERVAL};
-use super::{ConnectionKey, Dispatcher, EventSource};
+use super::{ConnectionKey, EventSource};
 use myrtlegauge::interface::End;
+use myrtlegauge_wire::host_replies::read_replies;
 use myrtlegauge_wire::transport::{Connection, ReadOutcome};
 use std::time::Duration;
 
@@ -27,7 +28,6 @@
         // Before connections come up, since waiting forwards are then written as they are.
         self.update_unknown_purges();
         self.taking = Taking::NotStarted;
-        self.completing_link = self.link_to_complete();
         let mut backlog = Vec::new();
         for _ in 0..self.ready.len() {
             let Some(source) = self.ready.pop() else { break };
@@ -80,13 +80,19 @@
             }
             return true;
         }
-        let may_read = !self.are_buffers_full() || self.completing_link == Some(key);
+        let are_buffers_full = self.are_buffers_full();
         let Self { links, read_buffer, now, .. } = self;
         let link = &mut links[key];
+        let has_failed = link.connection.flush().is_err();
+        if are_buffers_full && !link.connection.has_room_reserved() && !has_failed {
+            // What the host has sent waits here, so the host is not at fault for the delay.
+            link.partial_since = link.partial_since.map(|_| *now);
+            return true;
+        }
         let unparsed_before = link.connection.unparsed_bytes();
-        let (is_closed, has_more) =
-            on_ready(&mut link.connection, read_buffer, may_read, MAX_HOST_READ_BYTES);
-        link.has_ended |= is_closed;
+        let read_outcome = read_replies(&mut link.connection, read_buffer, MAX_HOST_READ_BYTES);
+        let has_more = read_outcome == ReadOutcome::More;
+        link.has_ended |= has_failed || read_outcome == ReadOutcome::Closed;
         if link.connection.unparsed_bytes() > unparsed_before {
             link.received_at = *now;
         }
@@ -98,24 +104,14 @@
         has_more
     }
 
-    /// The connection with unread data that holds most of an incomplete reply. It is read although the buffers are full, if
-    /// they are full of incomplete replies: nothing else makes room then. Output that clients have not read gives way
-    /// otherwise.
-    pub fn link_to_complete(&self) -> Option<ConnectionKey> {
-        if !self.are_buffers_full() {
-            return None;
-        }
-        let incomplete = self.links.iter().map(|(_, link)| link.connection.unparsed_bytes());
-        if incomplete.sum::<usize>() <= self.memory.max_bytes / 2 {
-            return None;
-        }
-        let ready_links = self.ready.iter().filter_map(|source| match source {
-            EventSource::Link(key) => Some(*key),
-            _ => None,
-        });
-        let held =
-            ready_links.filter_map(|key| Some((self.links.get(key)?.connection.unparsed_bytes(), key)));
-        held.filter(|&(held_bytes, _)| held_bytes > 0).max().map(|(_, key)| key)
+    /// Whether there is more to read on a connection to a host that may be read now. While the buffers are full, only the
+    /// rest of replies for which room is reserved is read: it takes no further memory, and nothing else may make room.
+    pub fn has_readable_link(&self) -> bool {
+        let may_read = |key: ConnectionKey| {
+            !self.are_buffers_full()
+                || self.links.get(key).is_some_and(|link| link.connection.has_room_reserved())
+        };
+        self.ready.iter().any(|source| matches!(source, EventSource::Link(key) if may_read(*key)))
     }
 
     /// Accepts waiting clients. At the limit, the oldest connection that never sent a request is closed to make room,
@@ -359,19 +355,3 @@
         }
     }
 }
-
-/// Writes pending output and reads received data. Returns whether the connection has ended and whether there is more
-/// to read.
-fn on_ready(
-    connection: &mut Connection<Dispatcher>,
-    read_buffer: &mut [u8],
-    may_read: bool,
-    max_bytes: usize,
-) -> (bool, bool) {
-    let has_failed = connection.flush().is_err();
-    if !may_read && !has_failed {
-        return (false, true);
-    }
-    let read_outcome = connection.read(read_buffer, max_bytes);
-    (has_failed || read_outcome == ReadOutcome::Closed, read_outcome == ReadOutcome::More)
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod change_log_client;
 pub mod clock;
 pub mod host_registry;
+pub mod host_replies;
 pub mod long_poll;
 mod overdue_polls;
 mod poll_connection;
--- a/crates/wire/src/protocol/resp.rs
+++ b/crates/wire/src/protocol/resp.rs
@@ -1,9 +1,12 @@
 //! RESP for hosts: writes commands, reads replies, both as arrays of bulk strings. Implemented here rather than taken
 //! from a crate, because lengths have to be checked against a limit before their content is awaited.
+//!
+//! A reply is found in the bytes without taking them, so that the caller decides in which memory it is kept.
 
 use super::StreamError;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::fmt::Write;
+use std::ops::Range;
 
 /// Limits of the bytes of a reply's id, status, fields and body. The protocol page allows objects of 240,000 bytes.
 const MAX_ELEMENT_BYTES: [usize; ELEMENTS] = [ID_DIGITS, 16, 4096, 256 * 1024];
@@ -55,34 +58,69 @@
     Ok(Some((length, from + end + 1)))
 }
 
-/// Takes the next reply out of `inbound`, or returns `None` until the reply is complete.
-pub fn next_reply(inbound: &mut BytesMut) -> Result<Option<Reply>, StreamError> {
-    let Some((elements, mut position)) = read_length(inbound, 0, b'*')? else { return Ok(None) };
+/// What stands at the start of the bytes from a host.
+#[derive(Debug)]
+pub enum Frame {
+    Complete(ReplyFrame),
+    /// A part of a reply, with the length of the whole once it is known.
+    Incomplete {
+        length: Option<usize>,
+    },
+}
+
+/// Where a complete reply and its elements stand.
+#[derive(Debug)]
+pub struct ReplyFrame {
+    elements: [Range<usize>; ELEMENTS],
+    length: usize,
+}
+
+impl ReplyFrame {
+    /// Bytes of the whole reply.
+    pub fn length(&self) -> usize {
+        self.length
+    }
+
+    /// The reply in the bytes that it was found in, or in a copy of them.
+    ///
+    /// # Errors
+    /// The id is invalid.
+    pub fn into_reply(self, bytes: &Bytes) -> Result<Reply, StreamError> {
+        let [id, status, fields, body] = self.elements.map(|element| bytes.slice(element));
+        if id.len() != ID_DIGITS || !id.iter().all(u8::is_ascii_hexdigit) {
+            return Err(StreamError("RESP reply has no valid id"));
+        }
+        Ok(Reply { id, status, fields, body })
+    }
+}
+
+/// Finds the reply that starts the bytes.
+///
+/// # Errors
+/// The bytes start no valid reply, or one that exceeds a limit.
+pub fn read_frame(bytes: &[u8]) -> Result<Frame, StreamError> {
+    let unknown = Frame::Incomplete { length: None };
+    let Some((elements, mut position)) = read_length(bytes, 0, b'*')? else { return Ok(unknown) };
     if elements != ELEMENTS {
         return Err(StreamError("RESP reply does not have four elements"));
     }
-    let mut spans = [(0, 0); ELEMENTS];
-    for (span, max_bytes) in spans.iter_mut().zip(MAX_ELEMENT_BYTES) {
-        let Some((length, from)) = read_length(inbound, position, b'$')? else { return Ok(None) };
+    let mut elements = [const { 0..0 }; ELEMENTS];
+    for (index, (element, max_bytes)) in elements.iter_mut().zip(MAX_ELEMENT_BYTES).enumerate() {
+        let Some((length, from)) = read_length(bytes, position, b'$')? else { return Ok(unknown) };
         if length > max_bytes {
             return Err(StreamError("RESP element exceeds the size limit"));
         }
         position = from + length + 2;
-        if inbound.len() < position {
-            inbound.reserve(position - inbound.len());
-            return Ok(None);
+        if bytes.len() < position {
+            let is_last = index == ELEMENTS - 1;
+            return Ok(Frame::Incomplete { length: is_last.then_some(position) });
         }
-        if &inbound[position - 2..position] != b"\r\n" {
+        if &bytes[position - 2..position] != b"\r\n" {
             return Err(StreamError("RESP element is longer than its length says"));
         }
-        *span = (from, from + length);
-    }
-    let reply = inbound.split_to(position).freeze();
-    let [id, status, fields, body] = spans.map(|(from, to)| reply.slice(from..to));
-    if id.len() != ID_DIGITS || !id.iter().all(u8::is_ascii_hexdigit) {
-        return Err(StreamError("RESP reply has no valid id"));
+        *element = from..from + length;
     }
-    Ok(Some(Reply { id, status, fields, body }))
+    Ok(Frame::Complete(ReplyFrame { elements, length: position }))
 }
 
 fn write_element(out: &mut BytesMut, bytes: &[u8]) {
--- a/crates/wire/src/transport/connection.rs
+++ b/crates/wire/src/transport/connection.rs
@@ -1,6 +1,7 @@
 //! One connection: a non-blocking socket, the bytes that were read but not parsed yet, and the messages that wait to be
 //! written. Its event loop callback only notifies the handler that the socket is ready.
 
+use super::inbound::Inbound;
 use super::{EventLoopHandle, ReadinessHandler, ResourceUsage, register_socket};
 use bytes::{Bytes, BytesMut};
 use calloop::{Interest, RegistrationToken};
@@ -11,8 +12,6 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// Largest read buffer that a connection keeps while it holds no unparsed bytes.
-const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
 /// Messages passed to the operating system in one vectored write.
 const MAX_WRITE_SLICES: usize = 32;
 /// Memory that a queued message takes beside its bytes: its entry in a queue that may be half empty, and the header and
@@ -36,7 +35,7 @@
     stream: Rc<TcpStream>,
     registration: RegistrationToken,
     resource_usage: Rc<ResourceUsage>,
-    inbound: BytesMut,
+    inbound: Inbound,
     /// Messages that wait to be written, each with its number. The first may be partly written already.
     outbound: VecDeque<(u64, Bytes)>,
     /// Total messages queued so far, which is the number of the next message.
@@ -99,7 +98,7 @@
             stream,
             registration,
             resource_usage: Rc::clone(resource_usage),
-            inbound: BytesMut::new(),
+            inbound: Inbound::default(),
             outbound: VecDeque::new(),
             enqueued_messages: 0,
             is_first_partly_written: false,
@@ -125,26 +124,45 @@
     }
 
     /// Reads the available bytes through a buffer that all connections share. Stops soon after `max_bytes` bytes, so
-    /// that a connection that always has more to read can't starve the others.
+    /// that a connection that always has more to read can't starve the others. Where room is reserved for a message, it
+    /// stops at the end of that message.
     pub fn read(&mut self, read_buffer: &mut [u8], max_bytes: usize) -> ReadOutcome {
         let Self { stream, inbound, resource_usage, .. } = self;
-        receive(stream, read_buffer, max_bytes, |bytes| {
-            inbound.extend_from_slice(bytes);
-            resource_usage.buffered_bytes.add(bytes.len());
+        let reserved_bytes = inbound.reserved_bytes();
+        let limits = ReadLimits {
+            stop_after: max_bytes,
+            at_most: if reserved_bytes > 0 { reserved_bytes } else { usize::MAX },
+        };
+        receive(stream, read_buffer, &limits, |bytes| {
+            inbound.extend(bytes, &resource_usage.buffered_bytes);
             resource_usage.bytes_in.add(bytes.len());
         })
     }
 
-    /// Applies a parser to the bytes that were read. What it consumes is no longer counted as buffered.
+    /// Applies a parser to the bytes that were read.
     pub fn parse<T>(&mut self, parser: impl FnOnce(&mut BytesMut) -> T) -> T {
-        let before = self.inbound.len();
-        let parsed = parser(&mut self.inbound);
-        self.resource_usage.buffered_bytes.subtract(before - self.inbound.len());
-        if self.inbound.is_empty() && self.inbound.capacity() > MAX_IDLE_BUFFER_BYTES {
-            // The buffer has grown for a large message and would stay allocated on an idle connection.
-            self.inbound = BytesMut::new();
-        }
-        parsed
+        self.inbound.parse(parser, &self.resource_usage.buffered_bytes)
+    }
+
+    /// The bytes that were read but not parsed yet.
+    pub fn unparsed(&self) -> &[u8] {
+        self.inbound.bytes()
+    }
+
+    /// Takes the first `length` unparsed bytes, which are a message, in memory that holds nothing else.
+    pub fn take_message(&mut self, length: usize) -> Bytes {
+        self.inbound.take_message(length, &self.resource_usage.buffered_bytes)
+    }
+
+    /// Reserves exactly the room for the message of this length that the unparsed bytes are a part of. What follows it is
+    /// read after it was taken. Has no effect where room is reserved already.
+    pub fn reserve_message(&mut self, length: usize) {
+        self.inbound.reserve_message(length, &self.resource_usage.buffered_bytes);
+    }
+
+    /// Whether room is reserved for the rest of a message, so that reading it takes no further memory.
+    pub fn has_room_reserved(&self) -> bool {
+        self.inbound.reserved_bytes() > 0
     }
 
     /// Queues a message to be written and returns its number, for [`Connection::is_written`] and
@@ -195,7 +213,7 @@
 
     /// Reads and discards the available bytes, up to the same limit as [`Connection::read`].
     pub fn discard(&mut self, read_buffer: &mut [u8], max_bytes: usize) -> ReadOutcome {
-        receive(&self.stream, read_buffer, max_bytes, |_| ())
+        receive(&self.stream, read_buffer, &ReadLimits { stop_after: max_bytes, at_most: usize::MAX }, |_| ())
     }
 
     /// Whether the peer has closed the connection or its write side, also while bytes from before that are unread.
@@ -266,7 +284,7 @@
 
     /// Bytes that were read but not parsed yet.
     pub fn unparsed_bytes(&self) -> usize {
-        self.inbound.len()
+        self.inbound.bytes().len()
     }
 
     /// Queued bytes that were not written yet.
@@ -280,16 +298,24 @@
     }
 }
 
-/// Passes the available bytes to `on_bytes`, and stops soon after `max_bytes`.
+/// Limits of the bytes that are received at once.
+struct ReadLimits {
+    /// No further read is begun after this many bytes.
+    stop_after: usize,
+    at_most: usize,
+}
+
+/// Passes the available bytes to `on_bytes`, up to the limits.
 fn receive(
     mut stream: &TcpStream,
     read_buffer: &mut [u8],
-    max_bytes: usize,
+    limits: &ReadLimits,
     mut on_bytes: impl FnMut(&[u8]),
 ) -> ReadOutcome {
     let mut total = 0;
-    while total < max_bytes {
-        match stream.read(read_buffer) {
+    while total < limits.stop_after.min(limits.at_most) {
+        let piece_bytes = read_buffer.len().min(limits.at_most - total);
+        match stream.read(&mut read_buffer[..piece_bytes]) {
             Ok(0) => return ReadOutcome::Closed,
             Ok(count) => {
                 total += count;
@@ -309,7 +335,8 @@
 impl<O: ReadinessHandler> Drop for Connection<O> {
     fn drop(&mut self) {
         self.event_loop.remove(self.registration);
-        self.resource_usage.buffered_bytes.subtract(self.inbound.len() + self.unsent_memory_bytes());
+        self.inbound.clear(&self.resource_usage.buffered_bytes);
+        self.resource_usage.buffered_bytes.subtract(self.unsent_memory_bytes());
         self.resource_usage.descriptors.subtract(1);
     }
 }
--- a/crates/wire/src/transport/mod.rs
+++ b/crates/wire/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 mod closing;
 mod connection;
+mod inbound;
 mod listener;
 mod resource_usage;
 
--- a/crates/wire/src/transport/resource_usage.rs
+++ b/crates/wire/src/transport/resource_usage.rs
@@ -8,7 +8,8 @@
 pub struct ResourceUsage {
     /// Open sockets.
     pub descriptors: Gauge,
-    /// Bytes read but not parsed, and bytes that wait to be written with what each message takes beside them.
+    /// Buffers of bytes that were read and not parsed, as allocated, and bytes that wait to be written with what each
+    /// message takes beside them.
     pub buffered_bytes: Gauge,
     /// Memory of requests that are unanswered or still incomplete.
     pub request_bytes: Gauge,
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use common::{record, request};
 use myrtlegauge_wire::protocol::changelog_answer::{AnswerPart, AnswerReader};
+use myrtlegauge_wire::protocol::resp::{Frame, Reply};
 use myrtlegauge_wire::protocol::{StreamError, changelog, fastcgi, resp};
 use std::fmt::Debug;
 use std::time::Duration;
@@ -58,11 +59,25 @@
     insta::assert_snapshot!(messages);
 }
 
+/// Takes the next reply out of `inbound`.
+fn next_reply(inbound: &mut BytesMut) -> Result<Option<Reply>, StreamError> {
+    match resp::read_frame(inbound)? {
+        Frame::Complete(frame) => {
+            let bytes = inbound.split_to(frame.length()).freeze();
+            frame.into_reply(&bytes).map(Some)
+        }
+        Frame::Incomplete { length } => {
+            assert!(length.is_none_or(|length| length > inbound.len()), "an incomplete reply lacks bytes");
+            Ok(None)
+        }
+    }
+}
+
 #[test]
 fn resp_replies_can_be_split_anywhere() {
     let stream = b"*4\r\n$16\r\n9b1f03aa5c7e2d41\r\n$3\r\n200\r\n$22\r\nwhy=TCP_HIT,rev=ab,x=1\r\n$8\r\na\r\n$2\r\n\0\r\n\
         *4\r\n$16\r\n0000000000000002\r\n$3\r\n404\r\n$1\r\n-\r\n$0\r\n\r\n";
-    insta::assert_snapshot!(messages_at_every_split(stream, || (), |(), inbound| resp::next_reply(inbound)));
+    insta::assert_snapshot!(messages_at_every_split(stream, || (), |(), inbound| next_reply(inbound)));
 }
 
 #[test]
@@ -168,7 +183,7 @@
         "*-1\r\n",
         "*4\r\n$+1\r\n",
     ] {
-        errors += &format!("{text:?}: {:?}\n", resp::next_reply(&mut text.into()));
+        errors += &format!("{text:?}: {:?}\n", next_reply(&mut text.into()));
     }
     for text in
         ["HTTP/1.1 500 Oh\r\n\r\n", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"]
@@ -219,7 +234,7 @@
         let input = || BytesMut::from(&bytes[..]);
         let (mut fastcgi_input, mut resp_input, mut http_input) = (input(), input(), input());
         while let Ok(Some(_)) = reader.next_message(&mut fastcgi_input, &[(1, ())], Duration::ZERO) {}
-        while let Ok(Some(_)) = resp::next_reply(&mut resp_input) {}
+        while let Ok(Some(_)) = next_reply(&mut resp_input) {}
         let mut whole_reader = AnswerReader::default();
         while let Ok(Some(_)) = whole_reader.next_whole(&mut http_input, iteration % 2 == 0) {}
         let (mut answer_reader, mut answer_input) = (AnswerReader::default(), input());
