Client library: what is known of a dispatcher is a module of its own

The health, reconnects, pauses and retry credit of one dispatcher move to dispatcher_state.rs; bare numbers get names.

--- a/crates/client/src/decide.rs
+++ b/crates/client/src/decide.rs
@@ -2,53 +2,32 @@
 //! has no I/O and no clock. The driver calls `Core::round(now, &mut sink, |round| …)` once per batch of events, with one
 //! call on `Round` per event; the resulting actions go into `sink`.
 
+use crate::dispatcher_state::{DispatcherState, SLOW_START_STEP};
 use crate::terms::*;
 use slab::Slab;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-const ZERO: Duration = Duration::ZERO;
 /// Attempts of one GET. A third failure shows that the fault is not limited to one dispatcher.
 const MAX_ATTEMPTS: u32 = 3;
-/// Retry credit that a first attempt adds, and the maximum that is kept. Retries add at most a tenth to the load of the
-/// dispatchers, and a client that was idle can't send a burst of them.
-const RETRY_CREDIT_PER_CALL: f64 = 0.1;
-const MAX_RETRY_CREDIT: f64 = 10.0;
-/// Initial credit, which allows a few retries before any first attempt has added to it.
-const INITIAL_RETRY_CREDIT: f64 = 3.0;
 /// Requests open on one connection; the protocol sets the limit.
 const MAX_REQUESTS_PER_CONNECTION: usize = 32;
 /// Connections to one dispatcher. With two of them, a lost connection takes down only half of the requests.
 const MAX_CONNECTIONS_PER_DISPATCHER: usize = 2;
 /// Calls above this number in flight are shed at once.
 const MAX_CALLS_IN_FLIGHT: usize = 4096;
-/// Number of recent outcomes by which a dispatcher is judged. It counts as failed while more than half are failures.
-const HEALTH_WINDOW: u32 = 4;
-/// Time without GETs before the first trial of a failed dispatcher. Each failed trial doubles it, up to eight times.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 /// Shortest pause after a refusal: a requested pause of zero would make the client loop.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause after a refusal: a pause of a year is a mistake, and a tablet must come back within the shift.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// Pause after a refusal that requests none, or an invalid one.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
-/// Reconnects per second that a dispatcher can take beside its work. It sets the window over which clients that lost a
-/// dispatcher at the same instant reconnect.
-const RECONNECTS_PER_S: f64 = 4000.0;
-/// Reconnect window of a client that shares its dispatcher with no other, and the upper limit of every window.
-const MIN_RECONNECT_WINDOW: Duration = Duration::from_millis(50);
-const MAX_RECONNECT_WINDOW: Duration = Duration::from_secs(10);
 /// A connection that is not established within this time is closed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A dispatcher that sends nothing is waited for this many times its mean answer time, and at least for the minimum,
 /// before the GET goes to another one.
 const SILENCE_FACTOR: f64 = 6.0;
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
-/// A recovered dispatcher gets one GET at a time at first; the limit doubles at each step.
-const SLOW_START_STEP: Duration = Duration::from_millis(100);
-/// Weight of a new answer time in the moving average.
-const ANSWER_TIME_WEIGHT: f64 = 0.1;
-
 pub type CallId = usize;
 pub type ConnectionId = usize;
 
@@ -154,62 +133,6 @@
     open: Vec<OpenRequest>,
 }
 
-struct DispatcherState {
-    dispatcher: Dispatcher,
-    recent_failures: u32,
-    failed_trials: u32,
-    backoff_until: Duration,
-    /// End of the pause that the dispatcher requested.
-    pause_until: Duration,
-    requested_pause: Duration,
-    /// After a lost connection, the earliest time for a new one, and the number of losses in a row.
-    reconnect_at: Duration,
-    consecutive_losses: u32,
-    /// Start of the slow start after a recovery.
-    recovered_at: Option<Duration>,
-    retry_credit: f64,
-    mean_answer_s: f64,
-}
-
-impl DispatcherState {
-    fn is_failed(&self) -> bool {
-        (self.recent_failures & ((1 << HEALTH_WINDOW) - 1)).count_ones() > HEALTH_WINDOW / 2
-    }
-
-    /// Records an outcome, to keep calls away from a dispatcher that fails them. Where all dispatchers fail alike this does
-    /// harm, but one of them is still tried.
-    fn record_outcome(&mut self, success: bool, now: Duration) {
-        let was_failed = self.is_failed();
-        self.recent_failures = self.recent_failures << 1 | u32::from(!success);
-        if success {
-            self.failed_trials = 0;
-            if was_failed && !self.is_failed() {
-                self.recovered_at = Some(now);
-            }
-        } else if self.is_failed() && (!was_failed || now >= self.backoff_until) {
-            self.backoff_until = now + FAILURE_BACKOFF * (1 << self.failed_trials);
-            self.failed_trials = (self.failed_trials + 1).min(3);
-        }
-    }
-
-    /// When the dispatcher may be used again after lost connections or failures. Requested pauses are not included.
-    fn available_at(&self) -> Duration {
-        self.reconnect_at.max(if self.is_failed() { self.backoff_until } else { ZERO })
-    }
-
-    /// Maximum number of GETs in flight at the dispatcher. Keeps one that has just recovered from being sent all waiting
-    /// calls at once.
-    fn max_in_flight(&self, now: Duration) -> usize {
-        if self.is_failed() {
-            return 1;
-        }
-        let steps = self
-            .recovered_at
-            .map(|recovered_at| now.saturating_sub(recovered_at).div_duration_f64(SLOW_START_STEP) as u32);
-        steps.map_or(usize::MAX, |steps| 1 << steps.min(16))
-    }
-}
-
 /// The state of a client: calls, connections, and what is known of each dispatcher.
 pub struct Core {
     services: Vec<Service>,
@@ -225,28 +148,15 @@
 
 impl Core {
     pub fn new(services: Vec<Service>, dispatchers: Vec<Dispatcher>, seed: u64) -> Self {
-        let initial_state = |dispatcher| DispatcherState {
-            dispatcher,
-            recent_failures: 0,
-            failed_trials: 0,
-            backoff_until: ZERO,
-            pause_until: ZERO,
-            requested_pause: ZERO,
-            reconnect_at: ZERO,
-            consecutive_losses: 0,
-            recovered_at: None,
-            retry_credit: INITIAL_RETRY_CREDIT,
-            mean_answer_s: 0.0,
-        };
         Self {
             services,
-            dispatchers: dispatchers.into_iter().map(initial_state).collect(),
+            dispatchers: dispatchers.into_iter().map(DispatcherState::new).collect(),
             calls: Slab::new(),
             connections: Slab::new(),
             waiting: VecDeque::new(),
             deadlines: BTreeSet::new(),
             rng: fastrand::Rng::with_seed(seed),
-            now: ZERO,
+            now: Duration::ZERO,
         }
     }
 
@@ -366,10 +276,7 @@
         let now = self.core.now;
         if let Some(connection) = self.core.connections.get_mut(connection) {
             (connection.is_up, connection.last_read_at) = (true, now);
-            let dispatcher_state = &mut self.core.dispatchers[connection.dispatcher];
-            if std::mem::take(&mut dispatcher_state.consecutive_losses) > 0 {
-                dispatcher_state.recovered_at = Some(now);
-            }
+            self.core.dispatchers[connection.dispatcher].record_connection(now);
         }
     }
 
@@ -392,14 +299,7 @@
         let Some(ended) = core.connections.try_remove(connection) else { return };
         self.sink.close(connection);
         let dispatcher_state = &mut core.dispatchers[ended.dispatcher];
-        dispatcher_state.consecutive_losses = (dispatcher_state.consecutive_losses + 1).min(16);
-        // Keeps a dispatcher that all clients lost at the same instant from getting all their reconnects at once. A client
-        // without others pays for it with the minimum window.
-        let shared_window =
-            Duration::from_secs_f64(f64::from(dispatcher_state.dispatcher.sharers) / RECONNECTS_PER_S);
-        let window = (MIN_RECONNECT_WINDOW + shared_window + dispatcher_state.requested_pause)
-            .saturating_mul(1 << (dispatcher_state.consecutive_losses - 1).min(8));
-        dispatcher_state.reconnect_at = core.now + window.min(MAX_RECONNECT_WINDOW).mul_f64(core.rng.f64());
+        dispatcher_state.record_loss(core.now, &mut core.rng);
         // All requests lost with one connection count as one failure of the dispatcher.
         dispatcher_state.record_outcome(false, core.now);
         for open in ended.open {
@@ -416,25 +316,16 @@
         let Some(index) = sent_on.open.iter().position(|open| open.number == number) else { return };
         let (open, dispatcher) = (sent_on.open.swap_remove(index), sent_on.dispatcher);
         let dispatcher_state = &mut core.dispatchers[dispatcher];
-        let answer_s = now.saturating_sub(open.sent_at).as_secs_f64();
+        let answer_time = now.saturating_sub(open.sent_at);
         match answer {
             DispatcherAnswer::Returned => {
-                dispatcher_state.mean_answer_s = if dispatcher_state.mean_answer_s > 0.0 {
-                    dispatcher_state.mean_answer_s
-                        + ANSWER_TIME_WEIGHT * (answer_s - dispatcher_state.mean_answer_s)
-                } else {
-                    answer_s
-                };
-                dispatcher_state.record_outcome(true, now);
-                dispatcher_state.requested_pause = ZERO;
+                dispatcher_state.record_answer(answer_time, now);
                 self.finish(open.call, CallOutcome::Returned);
             }
             DispatcherAnswer::Shed(requested_ms) => {
                 // The dispatcher is alive and requests a pause for this GET and all others.
-                dispatcher_state.record_outcome(true, now);
                 let pause = pause_after_refusal(requested_ms);
-                (dispatcher_state.requested_pause, dispatcher_state.pause_until) =
-                    (pause, dispatcher_state.pause_until.max(now + pause));
+                dispatcher_state.record_refusal(pause, now);
                 core.calls[open.call].refusal_pause = Some(pause);
                 self.on_attempt_failed(open.call, dispatcher, open.sent_at, End::Shed, Reached::Whole);
             }
@@ -584,8 +475,7 @@
         let dispatcher_state = &mut core.dispatchers[dispatcher];
         let sent_call = &mut core.calls[call];
         if sent_call.attempts == 0 {
-            dispatcher_state.retry_credit =
-                (dispatcher_state.retry_credit + RETRY_CREDIT_PER_CALL).min(MAX_RETRY_CREDIT);
+            dispatcher_state.add_retry_credit();
         } else if needs_credit {
             dispatcher_state.retry_credit -= 1.0;
         }
@@ -712,12 +602,7 @@
             }
         }
         for dispatcher_state in &mut self.core.dispatchers {
-            if dispatcher_state
-                .recovered_at
-                .is_some_and(|recovered_at| now >= recovered_at + SLOW_START_STEP * 8)
-            {
-                dispatcher_state.recovered_at = None;
-            }
+            dispatcher_state.end_slow_start_if_over(now);
         }
         for _ in 0..self.core.waiting.len() {
             let Some(call) = self.core.waiting.pop_front() else { break };
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -38,6 +38,7 @@
 
 mod client;
 pub mod decide;
+mod dispatcher_state;
 mod handle;
 mod terms;
 
