Hosts: a reply's length is looked for only where more of it may follow

Cause: each read from a host looked for the reply's length, and the parser did so again; small replies, which come whole, paid for both.

Change: it is looked for after a read that filled the read buffer; the parser reserves the room for all others.

--- a/crates/wire/src/host_replies.rs
+++ b/crates/wire/src/host_replies.rs
@@ -15,10 +15,10 @@
     loop {
         let unparsed_before = connection.unparsed_bytes();
         let outcome = connection.read(read_buffer, 1);
-        bytes_left = bytes_left.saturating_sub(connection.unparsed_bytes() - unparsed_before);
-        // Invalid bytes are reported by `next_reply`.
-        if let Ok(Frame::Incomplete { length: Some(length) }) = resp::read_frame(connection.unparsed()) {
-            connection.reserve_message(length);
+        let count = connection.unparsed_bytes() - unparsed_before;
+        bytes_left = bytes_left.saturating_sub(count);
+        if count == read_buffer.len() && !connection.has_room_reserved() {
+            reserve_for_incomplete(connection);
         }
         let may_read_on = connection.has_room_reserved() || connection.unparsed_bytes() < read_buffer.len();
         if outcome != ReadOutcome::More || bytes_left == 0 || !may_read_on {
@@ -27,6 +27,14 @@
     }
 }
 
+/// Reserves room for the reply that the unparsed bytes are a part of, if its length is known.
+fn reserve_for_incomplete<O: ReadinessHandler>(connection: &mut Connection<O>) {
+    // Invalid bytes are reported by `next_reply`.
+    if let Ok(Frame::Incomplete { length: Some(length) }) = resp::read_frame(connection.unparsed()) {
+        connection.reserve_message(length);
+    }
+}
+
 /// Takes the next reply, or returns `None` until the reply is complete.
 ///
 /// # Errors
