Hosts: what a host wrote before its connection failed is read to its end

Cause: a connection on which a write fails is read once more and then ends. Since a read stops at the end of a large reply, replies behind it would have been dropped, and their requests answered as failed.

Change: such a connection ends once nothing more is to be read.

--- a/crates/dispatcher/src/routing/sockets.rs
+++ b/crates/dispatcher/src/routing/sockets.rs
@@ -92,7 +92,8 @@
         let unparsed_before = link.connection.unparsed_bytes();
         let read_outcome = read_replies(&mut link.connection, read_buffer, MAX_HOST_READ_BYTES);
         let has_more = read_outcome == ReadOutcome::More;
-        link.has_ended |= has_failed || read_outcome == ReadOutcome::Closed;
+        // What the host wrote before its connection failed is read first.
+        link.has_ended |= has_failed && !has_more || read_outcome == ReadOutcome::Closed;
         if link.connection.unparsed_bytes() > unparsed_before {
             link.received_at = *now;
         }
