Purges: each reload is an event after which what the change log has counts as known

PurgeNews knew of polls and pauses only. The first reload reported the poll that it ended as lost; a second one finds no poll outstanding and reported nothing, so that purges between them were limited by the 7 s after any purge alone. A reload whose file can't be used reported nothing at all. That the entries were ordered by time, with older ones dropped, held only while the time from which they bind was ordered as well; with a third kind of event it is not.

Change: each reload, whatever its file says, is recorded: all that the change log has 4 s after it counts as known then. Entries are dropped only for one that includes them and that no earlier poll settles. So that this costs no copies, a poll outstanding at the end of the 4 s ends then, and the next one is answered at once.

Evidence: two tests of tests/purge_news.rs failed with the reload left out (a copy of 5000 ms accepted; a drawn series of four reloads) and pass.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -311,13 +311,17 @@
         }
     }
 
-    /// Polls the change log at another address from now on. `None` counts a reloaded configuration that can't be used.
+    /// Polls the change log at another address from now on. `None` counts a reloaded configuration that can't be used,
+    /// at which the previous change log may have stopped as well.
     pub fn set_change_log_address(&mut self, address: Option<SocketAddr>) {
         self.proxy.counters.config_reloads += u64::from(address.is_some());
         self.proxy.counters.config_reloads_failed += u64::from(address.is_none());
         if self.proxy.replicas.is_some() {
             log::warn!("replicas are polled, and their addresses can't change while running; keeping them");
-        } else if let Some(address) = address {
+            return;
+        }
+        self.proxy.purge_news.on_reload(self.proxy.now);
+        if let Some(address) = address {
             self.proxy.change_log.set_address(address, self.proxy.now);
         }
     }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -32,6 +32,8 @@
     pub fn poll(&mut self) {
         let Self { replicas, event_loop, resource_usage, now, .. } = self;
         let Some(replicas) = replicas else {
+            let poll_wanted_at = self.purge_news.poll_wanted_at(self.change_log.polled_at());
+            self.change_log.want_poll_at(poll_wanted_at);
             let has_failed = self.change_log.poll_if_due(&self.event_loop, &self.resource_usage, self.now);
             self.counters.polls_failed += u64::from(has_failed);
             if has_failed {
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -75,6 +75,8 @@
     retried_gap_seq: u64,
     /// The next poll requests an immediate answer, because the known state must be complete before it is used.
     polls_immediately: bool,
+    /// No poll that is sent before this time waits for longer, and one that is sent after it requests an immediate answer.
+    poll_wanted_at: Option<Duration>,
 }
 
 /// A poll that was sent.
@@ -127,6 +129,7 @@
             is_new: false,
             retried_gap_seq: 0,
             polls_immediately: true,
+            poll_wanted_at: None,
         }
     }
 
@@ -195,8 +198,7 @@
         let Some(connection) = &mut self.connection else {
             return self.start_connect(event_loop, resource_usage, now) || is_overdue;
         };
-        let wait =
-            if std::mem::take(&mut self.polls_immediately) { IMMEDIATE_POLL_WAIT } else { LONG_POLL_WAIT };
+        let wait = next_wait(std::mem::take(&mut self.polls_immediately), self.poll_wanted_at, now);
         let since =
             self.last_seq.saturating_sub(u64::from(std::mem::take(&mut self.is_new) && self.has_overlap));
         let connection = &mut connection.connection;
@@ -260,6 +262,12 @@
         self.polled_at
     }
 
+    /// Has a poll answered soon after a time: none that is sent before waits for longer, and the first one after it
+    /// requests an immediate answer. `None` withdraws this.
+    pub fn want_poll_at(&mut self, at: Option<Duration>) {
+        self.poll_wanted_at = at;
+    }
+
     /// Requests an immediate answer, after any that may have arrived in the meantime. An outstanding poll is overdue
     /// soon.
     pub fn poll_immediately(&mut self, now: Duration) {
@@ -375,3 +383,11 @@
         }
     }
 }
+
+/// How long the change log may hold back the answer to a poll that is sent now.
+fn next_wait(is_immediate: bool, poll_wanted_at: Option<Duration>, now: Duration) -> Duration {
+    let longest = if is_immediate { IMMEDIATE_POLL_WAIT } else { LONG_POLL_WAIT };
+    // The wait is sent in whole milliseconds; rounded up, it ends after the time and not just before it.
+    let until_wanted = poll_wanted_at.map(|at| at.saturating_sub(now) + IMMEDIATE_POLL_WAIT);
+    until_wanted.unwrap_or(longest).min(longest)
+}
--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -2,11 +2,10 @@
 //! that such a purge could forbid are not accepted.
 //!
 //! A purge counts as known once it is in the change log and the router has polled for it, also if the answer is late.
-//! If the poll's connection is lost, it counts as known somewhat later, and in any case after `MAX_TIME_TO_KNOWN`. It
-//! is in force one grace period after that.
+//! If the poll's connection is lost, it counts as known somewhat later, so it does after a reload of the configuration,
+//! and in any case after `MAX_TIME_TO_KNOWN`. It is in force one grace period after that.
 
 use crate::settings::{self, Settings};
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time from when an answer is due until the poll counts as unanswered, and is sent again. It covers the delays of the
@@ -16,6 +15,10 @@
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
 /// A purge that a lost poll would have told counts as known this long after the loss.
 const TIME_TO_KNOWN_AFTER_LOSS: Duration = Duration::from_millis(2000);
+/// All that the change log has at this time after a reload (SIGHUP) counts as known then.
+const TIME_TO_KNOWN_AFTER_RELOAD: Duration = Duration::from_millis(4000);
+/// Reloads within this time count as one, so that few are kept.
+const RELOAD_MERGE_TIME: Duration = Duration::from_millis(50);
 /// A purge counts as known after this long, however it fares.
 const MAX_TIME_TO_KNOWN: Duration = Duration::from_millis(7000);
 
@@ -24,9 +27,22 @@
 struct UnknownPurges {
     until: Duration,
     in_force_from: Duration,
+    /// The answer to a poll that was sent at this time or later has told all of them.
+    told_by_poll_at: Duration,
     cause: Cause,
 }
 
+impl UnknownPurges {
+    fn is_in_force(&self, now: Duration) -> bool {
+        self.in_force_from <= now
+    }
+
+    /// Whether these purges include others, and only a poll that tells these tells the others as well.
+    fn covers(&self, other: &Self) -> bool {
+        other.until <= self.until && other.told_by_poll_at <= self.told_by_poll_at
+    }
+}
+
 /// Why purges up to a time are unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cause {
@@ -34,6 +50,8 @@
     PollUnanswered,
     /// A poll was lost at that time.
     PollLost,
+    /// The configuration was reloaded some time before.
+    Reload,
     /// The process did not run until then.
     Pause,
 }
@@ -49,8 +67,7 @@
     known_until: Duration,
     /// Since this time the process runs again after a pause.
     resumed_at: Duration,
-    /// Ordered by time.
-    unknown: VecDeque<UnknownPurges>,
+    unknown: Vec<UnknownPurges>,
 }
 
 impl PurgeNews {
@@ -62,20 +79,25 @@
                 .unwrap_or(Duration::MAX),
             known_until: now,
             resumed_at: Duration::ZERO,
-            unknown: VecDeque::new(),
+            unknown: Vec::new(),
         }
     }
 
     /// A poll was sent, whose answer is due at a time if there are no events.
     pub fn on_poll_sent(&mut self, sent_at: Duration, answer_due_at: Duration) {
         let in_force_from = (answer_due_at + ANSWER_MARGIN).max(sent_at + self.grace + SOCKET_SLACK);
-        self.unknown.push_back(UnknownPurges { until: sent_at, in_force_from, cause: Cause::PollUnanswered });
+        self.unknown.push(UnknownPurges {
+            until: sent_at,
+            in_force_from,
+            told_by_poll_at: sent_at,
+            cause: Cause::PollUnanswered,
+        });
     }
 
     /// A poll was answered in whole: all purges until it was sent were received.
     pub fn on_poll_answered(&mut self, sent_at: Duration) {
         self.known_until = self.known_until.max(sent_at);
-        self.unknown.retain(|unknown| unknown.until > sent_at);
+        self.unknown.retain(|unknown| unknown.told_by_poll_at > sent_at);
     }
 
     /// The connection of an outstanding poll was lost.
@@ -83,18 +105,55 @@
         // A poll that has been unanswered for long stays so: what was known before it may have been dropped for it.
         let is_replaced = |unknown: &UnknownPurges| {
             unknown.cause == Cause::PollUnanswered
-                && unknown.until == sent_at
+                && unknown.told_by_poll_at == sent_at
                 && unknown.in_force_from > lost_at
         };
         self.unknown.retain(|unknown| !is_replaced(unknown));
         let in_force_from = lost_at + TIME_TO_KNOWN_AFTER_LOSS + self.grace;
-        self.unknown.push_back(UnknownPurges { until: lost_at, in_force_from, cause: Cause::PollLost });
+        self.unknown.push(UnknownPurges {
+            until: lost_at,
+            in_force_from,
+            told_by_poll_at: lost_at,
+            cause: Cause::PollLost,
+        });
+    }
+
+    /// The configuration was reloaded, whatever it names. The change log may have moved, and what it has a while later
+    /// counts as known then.
+    pub fn on_reload(&mut self, reloaded_at: Duration) {
+        let known_at = reloaded_at + TIME_TO_KNOWN_AFTER_RELOAD;
+        let in_force_from = known_at + self.grace;
+        let is_merged = |unknown: &&mut UnknownPurges| {
+            unknown.cause == Cause::Reload && in_force_from < unknown.in_force_from + RELOAD_MERGE_TIME
+        };
+        if let Some(last) = self.unknown.iter_mut().rev().find(is_merged) {
+            (last.until, last.told_by_poll_at) = (known_at, known_at);
+            return;
+        }
+        self.unknown.push(UnknownPurges {
+            until: known_at,
+            in_force_from,
+            told_by_poll_at: known_at,
+            cause: Cause::Reload,
+        });
+    }
+
+    /// The earliest time, after the last poll was sent, from which on a poll has to be answered soon so that no copies
+    /// are refused.
+    pub fn poll_wanted_at(&self, last_sent_at: Duration) -> Option<Duration> {
+        let reloads = self.unknown.iter().filter(|unknown| unknown.cause == Cause::Reload);
+        reloads.map(|unknown| unknown.told_by_poll_at).filter(|&at| at > last_sent_at).min()
     }
 
     /// The process runs again after a pause, in which purges may have come into force.
     pub fn on_resumed(&mut self, now: Duration) {
         self.resumed_at = now;
-        self.unknown.push_back(UnknownPurges { until: now, in_force_from: now, cause: Cause::Pause });
+        self.unknown.push(UnknownPurges {
+            until: now,
+            in_force_from: now,
+            told_by_poll_at: now,
+            cause: Cause::Pause,
+        });
     }
 
     /// Whether no poll that was sent after the last pause has been answered yet.
@@ -110,11 +169,12 @@
     /// The time up to which purges may be in force that were not received; `None` if there is none that a cached copy
     /// could contradict.
     pub fn in_force_until(&mut self, now: Duration) -> Option<Duration> {
-        if let Some(newest) = self.unknown.iter().rposition(|unknown| unknown.in_force_from <= now) {
-            self.unknown.drain(..newest);
+        let in_force = self.unknown.iter().filter(|unknown| unknown.is_in_force(now));
+        let newest = in_force.copied().max_by_key(|unknown| (unknown.until, unknown.told_by_poll_at));
+        if let Some(newest) = newest {
+            self.unknown.retain(|unknown| *unknown == newest || !newest.covers(unknown));
         }
-        let polled_until =
-            self.unknown.front().filter(|unknown| unknown.in_force_from <= now).map(|unknown| unknown.until);
+        let polled_until = newest.map(|unknown| unknown.until);
         let unpolled_until =
             now.checked_sub(MAX_TIME_TO_KNOWN + self.grace).filter(|&until| until > self.known_until);
         let until = polled_until.max(unpolled_until)?;
