Change log client: the loss of an overdue poll is told, too

Seen (by reading, then by a test): a poll that is overdue is set aside, and another is sent once a new connection is up. While none comes up, the end of the overdue poll's connection was passed over in silence.

Cause: OverduePolls dropped failed polls without a word, on the assumption that the next poll replaces each; where the change log refuses connections there is no next poll.

Change: the client tells each poll that was lost, overdue ones as well.

Evidence: the_loss_of_an_overdue_poll_is_told failed before ("a lost poll" expected, none told) and passes.

--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -54,7 +54,7 @@
 
     /// Records which polls were lost and sent since the last call.
     fn record_polls(&mut self) {
-        if let Some(LostPoll { sent_at, lost_at }) = self.change_log.take_lost() {
+        for LostPoll { sent_at, lost_at } in self.change_log.take_lost() {
             self.purge_news.on_poll_lost(sent_at, lost_at);
         }
         if let Some(SentPollTimes { sent_at, answer_due_at }) = self.change_log.take_sent() {
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -1,7 +1,7 @@
 //! Long-poll client of the change log. It polls again immediately after an answer. If an answer is overdue, it polls on
 //! another connection as well and takes the answer that comes first.
 
-use crate::overdue_polls::{OverduePolls, SentPoll};
+use crate::overdue_polls::{MAX_OVERDUE_POLLS, OverduePolls, SentPoll};
 use crate::poll_connection::{PollConnection, ReadAnswer};
 use crate::protocol::changelog_answer::{AnswerPart, AnswerReader};
 use crate::protocol::{StreamError, changelog};
@@ -60,9 +60,9 @@
     /// A poll is outstanding.
     is_pending: bool,
     polled_at: Duration,
-    /// The poll sent and the poll lost since these were last taken.
+    /// The poll sent and the polls lost since these were last taken.
     newly_sent: Option<SentPollTimes>,
-    newly_lost: Option<LostPoll>,
+    newly_lost: Vec<LostPoll>,
     /// When [`ChangeLogClient::poll_if_due`] has to act next: to time out, to reconnect or to poll again.
     pub deadline: Duration,
     /// The sequence number of the last accepted event.
@@ -122,7 +122,7 @@
             is_pending: false,
             polled_at: Duration::ZERO,
             newly_sent: None,
-            newly_lost: None,
+            newly_lost: Vec::new(),
             deadline: Duration::ZERO,
             last_seq: 0,
             has_overlap: false,
@@ -218,9 +218,17 @@
         self.newly_sent.take()
     }
 
-    /// The last poll that was lost since the last call. Overdue polls are not among these.
-    pub fn take_lost(&mut self) -> Option<LostPoll> {
-        self.newly_lost.take()
+    /// The polls, also overdue ones, whose connections were lost since the last call.
+    pub fn take_lost(&mut self) -> Vec<LostPoll> {
+        std::mem::take(&mut self.newly_lost)
+    }
+
+    /// Records the loss of a poll. Callers that never take the losses keep the last ones.
+    fn record_lost(&mut self, sent_at: Duration, lost_at: Duration) {
+        if self.newly_lost.len() > MAX_OVERDUE_POLLS {
+            self.newly_lost.remove(0);
+        }
+        self.newly_lost.push(LostPoll { sent_at, lost_at });
     }
 
     /// Keeps the outstanding poll as an overdue one, so that another can be sent.
@@ -279,7 +287,7 @@
     /// polls are kept.
     pub fn disconnect(&mut self, now: Duration) {
         if self.is_pending {
-            self.newly_lost = Some(LostPoll { sent_at: self.polled_at, lost_at: now });
+            self.record_lost(self.polled_at, now);
         }
         self.connection = None;
         self.connect_attempts.clear();
@@ -348,7 +356,11 @@
         read: ReadAnswer<T>,
         is_end: impl Fn(&T) -> bool,
     ) -> Result<Option<T>, StreamError> {
-        if let Some((index, part)) = self.overdue_polls.next_part(read) {
+        let overdue_part = self.overdue_polls.next_part(read);
+        for sent_at in self.overdue_polls.take_failed() {
+            self.record_lost(sent_at, now);
+        }
+        if let Some((index, part)) = overdue_part {
             if is_end(&part)
                 && let Some(SentPoll { connection, sent_at }) = self.overdue_polls.remove(index)
             {
--- a/crates/wire/src/overdue_polls.rs
+++ b/crates/wire/src/overdue_polls.rs
@@ -19,11 +19,13 @@
 /// The overdue polls, oldest first.
 pub(crate) struct OverduePolls<O: ReadinessHandler> {
     polls: VecDeque<SentPoll<O>>,
+    /// When those were sent whose connections have failed since this was last taken.
+    failed: Vec<Duration>,
 }
 
 impl<O: ReadinessHandler> OverduePolls<O> {
     pub fn new() -> Self {
-        Self { polls: VecDeque::new() }
+        Self { polls: VecDeque::new(), failed: Vec::new() }
     }
 
     /// Adds a poll. If there are too many, the oldest one is given up that has received nothing, or else the new one:
@@ -56,12 +58,17 @@
             match poll.connection.parse(read) {
                 Ok(Some(part)) => return Some((index, part)),
                 Ok(None) => index += 1,
-                Err(_) => _ = self.polls.remove(index),
+                Err(_) => self.failed.extend(self.polls.remove(index).map(|poll| poll.sent_at)),
             }
         }
         None
     }
 
+    /// When those polls were sent whose connections have failed since the last call.
+    pub fn take_failed(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.failed)
+    }
+
     /// Removes and returns a poll.
     pub fn remove(&mut self, index: usize) -> Option<SentPoll<O>> {
         self.polls.remove(index)
--- a/crates/wire/tests/change_log_client.rs
+++ b/crates/wire/tests/change_log_client.rs
@@ -136,3 +136,26 @@
     assert_eq!(client.client.accept(5, now), SequenceCheck::GapRetried(0));
     assert_eq!(client.client.accept(5, now), SequenceCheck::GapAccepted(0));
 }
+
+/// Guards against an overdue poll whose connection is lost without anybody being told, while no other connection comes up: what
+/// its answer would have held counts as known some time after the loss.
+#[test]
+fn the_loss_of_an_overdue_poll_is_told() {
+    let (listener, address) = listener();
+    let mut client = TestClient::new(address);
+    let silent = std::thread::spawn(move || {
+        let mut stream = listener.incoming().next().expect("a connection").expect("a connection");
+        read_request(&mut stream).expect("a poll");
+        stream
+    });
+    assert!(!client.poll_for(SLACK));
+    let stream = silent.join().expect("the poll was read");
+    assert!(!client.poll_for(WAIT + SLACK));
+    assert_eq!(client.client.take_lost().into_iter().next(), None);
+    let sent_at = client.client.polled_at();
+    drop(stream);
+    assert!(!client.poll_for(SLACK));
+    let lost = client.client.take_lost().into_iter().next().expect("a lost poll");
+    assert_eq!(lost.sent_at, sent_at);
+    assert!(lost.lost_at > sent_at + WAIT + SLACK, "{lost:?}");
+}
