Purges: what a poll without an answer would have told counts as known 2 s after its due time

Copies of before the purge were accepted (purged 1 ms after the poll, 3.55 s later).

Cause: PurgeNews counted an unanswered poll for purges up to its sending only, and left all later ones to the next poll. While the change log refuses connections and holds the old one open there is none.

Change: a poll is recorded with its due time as well; purges up to then are in force 2 s and the grace after it, unless the poll, or a later one, was answered by then or its connection broke before it was due.

--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -13,7 +13,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Time after the grace period within which copies are still accepted on sockets.
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
-/// A purge that a lost poll would have told counts as known this long after the loss.
+/// A purge that a poll would have told counts as known this long after the loss of the poll, or after its answer was due.
 const TIME_TO_KNOWN_AFTER_LOSS: Duration = Duration::from_millis(2000);
 /// All that the change log has at this time after a reload (SIGHUP) counts as known then.
 const TIME_TO_KNOWN_AFTER_RELOAD: Duration = Duration::from_millis(4000);
@@ -48,6 +48,8 @@
 enum Cause {
     /// The poll sent at that time is not answered yet.
     PollUnanswered,
+    /// The answer to a poll was due at that time, and has not come.
+    AnswerOverdue,
     /// A poll was lost at that time.
     PollLost,
     /// The configuration was reloaded some time before.
@@ -92,6 +94,12 @@
             told_by_poll_at: sent_at,
             cause: Cause::PollUnanswered,
         });
+        self.unknown.push(UnknownPurges {
+            until: answer_due_at,
+            in_force_from: answer_due_at + TIME_TO_KNOWN_AFTER_LOSS + self.grace,
+            told_by_poll_at: sent_at,
+            cause: Cause::AnswerOverdue,
+        });
     }
 
     /// A poll was answered in whole: all purges until it was sent were received.
@@ -100,13 +108,16 @@
         self.unknown.retain(|unknown| unknown.told_by_poll_at > sent_at);
     }
 
-    /// The connection of an outstanding poll was lost.
+    /// The connection of an unanswered poll was lost.
     pub fn on_poll_lost(&mut self, sent_at: Duration, lost_at: Duration) {
         // A poll that has been unanswered for long stays so: what was known before it may have been dropped for it.
         let is_replaced = |unknown: &UnknownPurges| {
-            unknown.cause == Cause::PollUnanswered
-                && unknown.told_by_poll_at == sent_at
-                && unknown.in_force_from > lost_at
+            let is_of_poll = unknown.told_by_poll_at == sent_at;
+            match unknown.cause {
+                Cause::PollUnanswered => is_of_poll && unknown.in_force_from > lost_at,
+                Cause::AnswerOverdue => is_of_poll && unknown.until > lost_at,
+                Cause::PollLost | Cause::Reload | Cause::Pause => false,
+            }
         };
         self.unknown.retain(|unknown| !is_replaced(unknown));
         let in_force_from = lost_at + TIME_TO_KNOWN_AFTER_LOSS + self.grace;
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -39,7 +39,7 @@
 fn polls() -> impl Strategy<Value = Vec<Poll>> {
     let fate = prop_oneof![
         (0..3000u64).prop_map(|after_ms| Fate::Answered { after_ms }),
-        (0..1500u64).prop_map(|after_ms| Fate::Lost { after_ms }),
+        prop_oneof![0..1500u64, 1500..6000u64].prop_map(|after_ms| Fate::Lost { after_ms }),
         Just(Fate::Unanswered),
     ];
     prop::collection::vec((1..4000u64, fate), 0..12).prop_map(|drawn| {
@@ -65,23 +65,35 @@
     })
 }
 
-/// From when a purge is in force, by the pages: it counts as told once it was asked for, 2 s after the loss of a poll that
-/// would have told it, 4 s after a reload, if the change log has it by then, and 7 s after it was made at the latest.
-fn in_force_from(polls: &[Poll], reloads: &[Duration], purged_at: Duration) -> Duration {
-    let known_by_poll = |poll: &Poll| match poll.fate {
-        Fate::Lost { after_ms } if poll.sent_at + ms(after_ms) >= purged_at => {
-            Some(poll.sent_at + ms(after_ms) + KNOWN_AFTER_LOSS + GRACE)
+/// When a purge counts as known by a poll, if it does, by the pages: once it was asked for, 2 s after the loss of the poll that
+/// would have told it, or 2 s after the end of the requested wait of one that is not answered.
+fn known_by_poll(poll: &Poll, purged_at: Duration, now: Duration) -> Option<Duration> {
+    let due_at = poll.sent_at + WAIT;
+    let stopped_at = due_at + KNOWN_AFTER_LOSS;
+    let known_by_stop = (due_at >= purged_at).then_some(stopped_at);
+    let known_by_asking =
+        (poll.sent_at >= purged_at).then_some(poll.sent_at.max(due_at.saturating_sub(GRACE)));
+    match poll.fate {
+        Fate::Lost { after_ms } => {
+            let lost_at = poll.sent_at + ms(after_ms);
+            let known_by_loss = (lost_at >= purged_at).then_some(lost_at + KNOWN_AFTER_LOSS);
+            known_by_stop.filter(|_| lost_at > stopped_at).into_iter().chain(known_by_loss).min()
         }
-        Fate::Lost { .. } => None,
-        _ if poll.sent_at >= purged_at => Some((poll.sent_at + GRACE).max(poll.sent_at + WAIT)),
-        _ => None,
-    };
+        Fate::Answered { after_ms } if poll.sent_at + ms(after_ms) <= now => known_by_asking,
+        Fate::Answered { .. } | Fate::Unanswered => known_by_asking.into_iter().chain(known_by_stop).min(),
+    }
+}
+
+/// From when a purge is in force, by the pages: it counts as known by a poll, 4 s after a reload, if the change log has it by
+/// then, and 7 s after it was made at the latest.
+fn in_force_from(polls: &[Poll], reloads: &[Duration], purged_at: Duration, now: Duration) -> Duration {
     let known_by_reload = |&reloaded_at: &Duration| {
         let known_at = reloaded_at + KNOWN_AFTER_RELOAD;
-        (known_at >= purged_at).then_some(known_at + GRACE)
+        (known_at >= purged_at).then_some(known_at)
     };
-    let known = polls.iter().filter_map(known_by_poll).chain(reloads.iter().filter_map(known_by_reload));
-    known.min().unwrap_or(Duration::MAX).min(purged_at + KNOWN_AT_LATEST + GRACE)
+    let known_by_polls = polls.iter().filter_map(|poll| known_by_poll(poll, purged_at, now));
+    let known_at = known_by_polls.chain(reloads.iter().filter_map(known_by_reload)).min();
+    known_at.unwrap_or(Duration::MAX).min(purged_at + KNOWN_AT_LATEST) + GRACE
 }
 
 /// What happens to the state of a router.
@@ -146,7 +158,7 @@
         let (mut news, known_until) = state_at(&polls, &reloads, now);
         let polls: Vec<Poll> = polls.into_iter().filter(|poll| poll.sent_at <= now).collect();
         let reloads: Vec<Duration> = reloads.into_iter().filter(|&at| at <= now).collect();
-        let is_in_force = now >= in_force_from(&polls, &reloads, purged_at) + SOCKET_SLACK;
+        let is_in_force = now >= in_force_from(&polls, &reloads, purged_at, now) + SOCKET_SLACK;
         let is_anywhere = now < purged_at + GONE_AFTER;
         if purged_at > known_until && is_in_force && is_anywhere {
             let refused_until = news.in_force_until(now);
