--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,8 +2,11 @@
 //! some of them.
 #![allow(dead_code)]
 
+pub mod resp;
+
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 
@@ -81,3 +84,42 @@
         let _ = self.0.wait();
     }
 }
+
+/// Returns an address that nothing listens on yet.
+pub fn unused_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Sends a process a signal by its name.
+pub fn send_signal(process: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &process.id().to_string()]).status().unwrap().success());
+}
+
+/// The initial events of a dispatcher: one cache, one parent and an origin, all at one address.
+pub fn initial_events(host: SocketAddr) -> Value {
+    let entry = |name: &str, kind: &str, zone: &str| {
+        json!({"name": name, "address": host.to_string(), "zone": zone, "type": kind, "group": 0,
+            "status": "active", "weight": 4.0, "since_ms": 0})
+    };
+    let entries =
+        [entry("c1", "standard", "edge"), entry("p1", "parent", "hub"), entry("o1", "origin", "hub")];
+    json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true, "endpoints": entries}}]})
+}
+
+/// Reads from a connection until the peer ends a response or closes the connection; none if it times out.
+pub fn read_response(stream: &mut TcpStream) -> Option<String> {
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return None,
+            Err(_) => break,
+        }
+        // The bytes end with an END_REQUEST record.
+        if bytes.len() >= 16 && bytes[bytes.len() - 16..][..2] == [1, 3] {
+            break;
+        }
+    }
+    Some(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -3,13 +3,16 @@
 
 mod common;
 
-use common::{KillOnDrop, TempFile, config, program, request};
-use serde_json::{Value, json};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use common::{
+    KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal,
+    unused_address,
+};
+use serde_json::json;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -23,32 +26,12 @@
     Duration::from_millis(milliseconds)
 }
 
-/// Returns an address that nothing listens on yet.
-fn unused_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn send_signal(process: &Child, name: &str) {
-    assert!(Command::new("kill").args([name, &process.id().to_string()]).status().unwrap().success());
-}
-
 fn start_dispatcher(file: &Path) -> KillOnDrop {
     let mut child = program();
     child.env("ROUTER_CONFIG", file).stdout(Stdio::null()).stderr(Stdio::null());
     KillOnDrop(child.spawn().unwrap())
 }
 
-/// The initial events of a dispatcher: one cache, one parent and an origin, all at one address.
-fn initial_events(host: SocketAddr) -> Value {
-    let entry = |name: &str, kind: &str, zone: &str| {
-        json!({"name": name, "address": host.to_string(), "zone": zone, "type": kind, "group": 0,
-            "status": "active", "weight": 4.0, "since_ms": 0})
-    };
-    let entries =
-        [entry("c1", "standard", "edge"), entry("p1", "parent", "hub"), entry("o1", "origin", "hub")];
-    json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true, "endpoints": entries}}]})
-}
-
 /// Sends a GET on a new connection.
 fn send_get(to: SocketAddr, number: u16) -> TcpStream {
     let id = format!("{number:016x}");
@@ -64,24 +47,6 @@
     stream
 }
 
-/// Reads from a connection until the peer ends a response or closes the connection; none if it times out.
-fn read_response(stream: &mut TcpStream) -> Option<String> {
-    let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(0) => break,
-            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return None,
-            Err(_) => break,
-        }
-        // The bytes end with an END_REQUEST record.
-        if bytes.len() >= 16 && bytes[bytes.len() - 16..][..2] == [1, 3] {
-            break;
-        }
-    }
-    Some(String::from_utf8_lossy(&bytes).into_owned())
-}
-
 /// Requests health until the response is 200 OK; returns how long that took.
 fn wait_until_healthy(to: SocketAddr) -> Duration {
     let start = Instant::now();
