Purges: reloads and losses count from when they may have happened, not from when they are seen

Cause: a reload or a lost poll was noted at the turn that saw it. A stop ends a wait without a word on signals, so that the turn after it sees the time after the stop, and the signal is read at the turn after that.

Change: such events have a span: they came after the last wait but one for events began. Purges count as known from its beginning on, and as unknown up to its end plus the 4 s. The loop waits for 100 ms at most, so that this is early by 0.2 s at most while the process runs.

--- /dev/null
+++ b/crates/cli/tests/purge_news/change_log.rs
@@ -0,0 +1,218 @@
+//! A stand-in for the change log that moves, is down, falls silent or answers late, and records what the pages' times
+//! follow from.
+
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+/// Sequence number of the last event that a dispatcher starts with.
+const FIRST_SEQ: usize = 1;
+/// How often waiting threads look for events.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1);
+/// A change log that a reload has replaced closes its open connections after this time.
+const RETIRED_CLOSE_AFTER: Duration = Duration::from_millis(1500);
+
+/// How the change log serves polls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    Up,
+    /// Answers leave this much late.
+    Late(Duration),
+    /// Connections are accepted, and polls are not answered.
+    Silent,
+    /// Connections are refused, and open ones closed.
+    Refused,
+    /// Connections are refused, and open ones stay silent until they are closed.
+    Retired,
+}
+
+/// What happened at the change log.
+#[derive(Clone, Copy, Debug)]
+pub enum LogEvent {
+    /// A poll arrived.
+    Polled { at: Instant, wait: Duration, connection: usize },
+    /// A whole answer left.
+    Answered { at: Instant, connection: usize },
+    /// A connection was closed while its poll was not answered.
+    Broken { at: Instant, connection: usize },
+    /// The same, because a reload had replaced the change log at this address.
+    Replaced { connection: usize },
+}
+
+/// The events of the change log, which move with it from address to address.
+#[derive(Default)]
+pub struct History {
+    purges: Vec<(u64, Instant)>,
+    log: Vec<LogEvent>,
+    connections: usize,
+}
+
+/// The change log at one address.
+pub struct ChangeLog {
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+struct State {
+    service: Mutex<(Service, Instant)>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap()
+}
+
+impl ChangeLog {
+    /// Starts a change log at an address of its own. Its threads end with the test's process.
+    pub fn start(history: &Arc<Mutex<History>>, service: Service) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(State { service: Mutex::new((service, Instant::now())) });
+        let (served, history) = (Arc::clone(&state), Arc::clone(history));
+        thread::spawn(move || accept(listener, address, &served, &history));
+        Self { address, state }
+    }
+
+    /// Changes how polls are served from now on.
+    pub fn set_service(&self, service: Service) {
+        *lock(&self.state.service) = (service, Instant::now());
+    }
+}
+
+impl History {
+    /// Adds the purge of an object, and returns when it was made.
+    pub fn purge(&mut self, object: u64) -> Instant {
+        let made_at = Instant::now();
+        self.purges.push((object, made_at));
+        made_at
+    }
+
+    /// All purges so far: object and time.
+    pub fn purges(&self) -> &[(u64, Instant)] {
+        &self.purges
+    }
+
+    pub fn log(&self) -> &[LogEvent] {
+        &self.log
+    }
+
+    fn last_seq(&self) -> usize {
+        FIRST_SEQ + self.purges.len()
+    }
+
+    /// The body of an answer with all events after a sequence number.
+    fn answer_since(&self, since: usize) -> String {
+        let later = self.purges.iter().enumerate().skip(since.saturating_sub(FIRST_SEQ));
+        let event = |(index, (object, _)): (usize, &(u64, Instant))| -> Value {
+            json!({"seq": FIRST_SEQ + index + 1, "invalidate": {"object": format!("{object:016x}"), "time": 0}})
+        };
+        json!({"seq": self.last_seq(), "results": later.map(event).collect::<Vec<_>>()}).to_string()
+    }
+}
+
+/// Accepts connections while the service does, and listens again once it comes back.
+fn accept(listener: TcpListener, address: SocketAddr, state: &Arc<State>, history: &Arc<Mutex<History>>) {
+    let mut listener = Some(listener);
+    loop {
+        let (service, _) = *lock(&state.service);
+        if matches!(service, Service::Refused | Service::Retired) {
+            listener = None;
+            sleep(LOOK_INTERVAL);
+            continue;
+        }
+        let listening = listener.get_or_insert_with(|| TcpListener::bind(address).unwrap());
+        listening.set_nonblocking(true).unwrap();
+        let Ok((stream, _)) = listening.accept() else {
+            sleep(LOOK_INTERVAL);
+            continue;
+        };
+        stream.set_nonblocking(false).unwrap();
+        let (state, history) = (Arc::clone(state), Arc::clone(history));
+        thread::spawn(move || serve(stream, &state, &history));
+    }
+}
+
+/// Serves the polls of one connection until either side ends it.
+fn serve(mut stream: TcpStream, state: &Arc<State>, history: &Mutex<History>) {
+    let connection = {
+        let mut history = lock(history);
+        history.connections += 1;
+        history.connections
+    };
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(LOOK_INTERVAL)).unwrap();
+    while let Some((since, wait)) = read_poll(&mut stream, state) {
+        let polled_at = Instant::now();
+        lock(history).log.push(LogEvent::Polled { at: polled_at, wait, connection });
+        let Some(lateness) = wait_for_answer(state, history, since, polled_at + wait) else {
+            let _ = stream.shutdown(Shutdown::Both);
+            let at = Instant::now();
+            let is_replaced = lock(&state.service).0 == Service::Retired;
+            let event = if is_replaced {
+                LogEvent::Replaced { connection }
+            } else {
+                LogEvent::Broken { at, connection }
+            };
+            lock(history).log.push(event);
+            return;
+        };
+        let body = lock(history).answer_since(since);
+        sleep(lateness);
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+        lock(history).log.push(LogEvent::Answered { at: Instant::now(), connection });
+    }
+}
+
+/// Reads a poll: the last sequence number that the dispatcher has, and the requested wait. `None` once the connection is to end.
+fn read_poll(stream: &mut TcpStream, state: &State) -> Option<(usize, Duration)> {
+    let (mut text, mut buffer) = (String::new(), [0; 4096]);
+    while !text.contains("\r\n\r\n") {
+        match stream.read(&mut buffer) {
+            Ok(0) => return None,
+            Ok(count) => text.push_str(&String::from_utf8_lossy(&buffer[..count])),
+            Err(_) if is_closing(state) => return None,
+            Err(_) => {}
+        }
+    }
+    let number_after = |name: &str| {
+        let digits = text.split(name).nth(1).unwrap_or_default();
+        let digits: String = digits.chars().take_while(char::is_ascii_digit).collect();
+        digits.parse::<u64>().unwrap_or(0)
+    };
+    Some((number_after("since=") as usize, Duration::from_millis(number_after("timeout="))))
+}
+
+/// Waits until a poll may be answered, and returns how late its answer leaves; `None` if the connection is to end instead.
+fn wait_for_answer(
+    state: &State,
+    history: &Mutex<History>,
+    since: usize,
+    due_at: Instant,
+) -> Option<Duration> {
+    loop {
+        if is_closing(state) {
+            return None;
+        }
+        let (service, _) = *lock(&state.service);
+        let is_due = Instant::now() >= due_at || lock(history).last_seq() > since;
+        match service {
+            Service::Up if is_due => return Some(Duration::ZERO),
+            Service::Late(lateness) if is_due => return Some(lateness),
+            _ => sleep(LOOK_INTERVAL),
+        }
+    }
+}
+
+fn is_closing(state: &State) -> bool {
+    let (service, since) = *lock(&state.service);
+    match service {
+        Service::Refused => true,
+        Service::Retired => since.elapsed() >= RETIRED_CLOSE_AFTER,
+        Service::Up | Service::Late(_) | Service::Silent => false,
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/purge_news/main.rs
@@ -0,0 +1,283 @@
+//! The program beside reloads (SIGHUP) and change logs that move, are down, silent or late: no request accepts a copy from
+//! before a purge that counts as told, and a change log that is up costs no copies.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod change_log;
+mod host;
+mod oracle;
+mod scenario;
+
+use change_log::{ChangeLog, History, Service};
+use common::{
+    KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal,
+    unused_address,
+};
+use host::{Arrival, Host};
+use scenario::{DURATION, File, OBJECTS, Scenario, Step};
+use serde_json::Value;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+const MAX_DESCRIPTORS: usize = 256;
+/// The time limit of each step, far above what it takes on a busy machine.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two GETs of a client. Each object is asked for several times a second.
+const GET_PAUSE: Duration = Duration::from_millis(5);
+/// Clients, each of which asks for objects in turn.
+const CLIENTS: u64 = 4;
+/// Seeds that are played at the same time.
+const PARALLEL: u64 = 5;
+
+/// A dispatcher with its change log and its host.
+struct Rig {
+    listen: SocketAddr,
+    host: Host,
+    history: Arc<Mutex<History>>,
+    change_log: ChangeLog,
+    service: Service,
+    file: TempFile,
+    process: KillOnDrop,
+    sighups: Vec<Instant>,
+}
+
+impl Rig {
+    /// Starts a dispatcher and waits until it listens.
+    fn start() -> Self {
+        let (listen, host) = (unused_address(), Host::start());
+        let history = Arc::default();
+        let change_log = ChangeLog::start(&history, Service::Up);
+        let text = config_text(listen, change_log.address, &host);
+        let file = TempFile::new(&format!("purge-news-{}.json", listen.port()), &text);
+        let mut child = program();
+        child.env("ROUTER_CONFIG", file.path()).stdout(Stdio::null()).stderr(Stdio::null());
+        let process = KillOnDrop(child.spawn().unwrap());
+        let started_at = Instant::now();
+        while TcpStream::connect(listen).is_err() {
+            assert!(started_at.elapsed() < TIMEOUT, "the dispatcher does not listen");
+            sleep(GET_PAUSE);
+        }
+        Self { listen, host, history, change_log, service: Service::Up, file, process, sighups: Vec::new() }
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Reload(file) => self.reload(file),
+            Step::Serve(service) => {
+                self.service = service;
+                self.change_log.set_service(service);
+            }
+            Step::Purge(object) => _ = self.history.lock().unwrap().purge(object),
+            Step::Stop => send_signal(&self.process.0, "-STOP"),
+            Step::Continue => send_signal(&self.process.0, "-CONT"),
+        }
+    }
+
+    /// Replaces the configuration file and sends SIGHUP.
+    fn reload(&mut self, file: File) {
+        if file != File::Unchanged {
+            let next = ChangeLog::start(&self.history, self.service);
+            std::mem::replace(&mut self.change_log, next).set_service(Service::Retired);
+        }
+        let text = config_text(self.listen, self.change_log.address, &self.host);
+        let written = if file == File::Unusable { &text[..text.len() / 2] } else { &text };
+        std::fs::write(self.file.path(), written).unwrap();
+        send_signal(&self.process.0, "-HUP");
+        self.sighups.push(Instant::now());
+    }
+}
+
+fn config_text(listen: SocketAddr, change_log: SocketAddr, host: &Host) -> String {
+    let config: Value = config(listen, change_log, MAX_DESCRIPTORS, &initial_events(host.address));
+    config.to_string()
+}
+
+/// Clients that ask for all objects in turn until they are stopped.
+struct Clients {
+    is_stopped: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<usize>>,
+}
+
+impl Clients {
+    fn start(listen: SocketAddr) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let start = |client: u64| {
+            let is_stopped = Arc::clone(&is_stopped);
+            thread::spawn(move || ask_until_stopped(listen, client, &is_stopped))
+        };
+        let threads = (0..CLIENTS).map(start).collect();
+        Self { is_stopped, threads }
+    }
+
+    /// Stops the clients and returns how many GETs were returned.
+    fn stop(self) -> usize {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.threads.into_iter().map(|thread| thread.join().unwrap()).sum()
+    }
+}
+
+fn ask_until_stopped(listen: SocketAddr, client: u64, is_stopped: &AtomicBool) -> usize {
+    let mut stream = TcpStream::connect(listen).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let mut returned = 0;
+    for number in 0.. {
+        if is_stopped.load(Ordering::SeqCst) {
+            break;
+        }
+        let object = format!("{:016x}", (number * CLIENTS + client) % OBJECTS);
+        let id = format!("{:016x}", number * CLIENTS + client + 1);
+        let params = [
+            ("SCRIPT_NAME", "/rpc/video"),
+            ("HTTP_REQUEST_ID", &*id),
+            ("HTTP_BUDGET_MS", "3000"),
+            ("HTTP_RESOURCE_KEY", &*object),
+        ];
+        stream.write_all(&request(&params)).unwrap();
+        let answer = read_response(&mut stream).expect("each GET is answered in time");
+        returned += usize::from(answer.contains("the bytes"));
+        sleep(GET_PAUSE);
+    }
+    returned
+}
+
+/// Records how late the machine wakes a thread.
+struct LagWatch {
+    is_stopped: Arc<AtomicBool>,
+    thread: thread::JoinHandle<Vec<(Instant, Duration)>>,
+}
+
+impl LagWatch {
+    const INTERVAL: Duration = Duration::from_millis(2);
+
+    fn start() -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let is_over = Arc::clone(&is_stopped);
+        let thread = thread::spawn(move || {
+            let mut lags = Vec::new();
+            while !is_over.load(Ordering::SeqCst) {
+                let slept_at = Instant::now();
+                sleep(Self::INTERVAL);
+                lags.push((Instant::now(), slept_at.elapsed() - Self::INTERVAL));
+            }
+            lags
+        });
+        Self { is_stopped, thread }
+    }
+
+    fn stop(self) -> Vec<(Instant, Duration)> {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.thread.join().unwrap()
+    }
+}
+
+/// The longest lag that ended within a short time before a moment, or in it.
+fn lag_around(lags: &[(Instant, Duration)], at: Instant) -> Duration {
+    const SPAN: Duration = Duration::from_millis(100);
+    let from = lags.partition_point(|&(ended_at, _)| ended_at + SPAN < at);
+    let near = lags[from..].iter().take_while(|&&(ended_at, lag)| ended_at <= at + lag + LagWatch::INTERVAL);
+    near.map(|&(_, lag)| lag).max().unwrap_or_default()
+}
+
+/// What a scenario brought.
+struct Outcome {
+    broken: Vec<String>,
+    returned: usize,
+    arrivals: Vec<Arrival>,
+}
+
+impl Outcome {
+    fn fills(&self) -> usize {
+        self.arrivals.iter().filter(|arrival| arrival.was_filled).count()
+    }
+
+    /// The most fills within a second.
+    fn most_fills(&self) -> usize {
+        let filled: Vec<Instant> =
+            self.arrivals.iter().filter(|arrival| arrival.was_filled).map(|arrival| arrival.at).collect();
+        let within = |&at: &Instant| {
+            filled.iter().filter(|&&other| other >= at && other < at + Duration::from_secs(1)).count()
+        };
+        filled.iter().map(within).max().unwrap_or_default()
+    }
+}
+
+/// Plays a scenario and judges each purge at the host.
+fn play(scenario: &Scenario) -> Outcome {
+    let mut rig = Rig::start();
+    let lag_watch = LagWatch::start();
+    let clients = Clients::start(rig.listen);
+    let started_at = Instant::now();
+    for &(at, step) in &scenario.steps {
+        sleep((started_at + at).saturating_duration_since(Instant::now()));
+        rig.carry_out(step);
+    }
+    sleep((started_at + DURATION).saturating_duration_since(Instant::now()));
+    let returned = clients.stop();
+    let lags = lag_watch.stop();
+    let mut broken = Vec::new();
+    if !matches!(rig.process.0.try_wait(), Ok(None)) {
+        broken.push("the dispatcher has ended".to_owned());
+    }
+    let arrivals = rig.host.arrivals();
+    let history = rig.history.lock().unwrap();
+    for &(object, purged_at) in history.purges() {
+        let told_at = oracle::told_at(purged_at, history.log(), &rig.sighups);
+        let late = oracle::late_copies(&arrivals, (object, purged_at), told_at, |at| lag_around(&lags, at));
+        if let Some(first) = late.first() {
+            let (purged, told) = (purged_at - started_at, told_at - started_at);
+            broken.push(format!(
+                "object {object}, purged {purged:.2?}, told {told:.2?}: {} late copies, first {first}",
+                late.len()
+            ));
+        }
+    }
+    Outcome { broken, returned, arrivals }
+}
+
+/// A setting of the environment, or its default.
+fn setting((name, default): (&str, u64)) -> u64 {
+    std::env::var(name)
+        .map_or(default, |text| text.parse().unwrap_or_else(|_| panic!("{name}: {text:?} is no number")))
+}
+
+/// The first seed and the number of seeds.
+const FIRST_SEED: (&str, u64) = ("PURGE_NEWS_SEED", 1);
+const SEEDS: (&str, u64) = ("PURGE_NEWS_SEEDS", 10);
+
+fn play_seed(seed: u64) -> Vec<String> {
+    let scenario = Scenario::draw(seed);
+    let outcome = play(&scenario);
+    println!(
+        "seed {seed}: {} returned, {} fills, {} at most in a second; {}; broken: {:?}",
+        outcome.returned,
+        outcome.fills(),
+        outcome.most_fills(),
+        scenario.describe(),
+        outcome.broken
+    );
+    outcome.broken
+}
+
+/// Guards against copies from before a purge that counts as told after drawn reloads, outages and stops (review case 8).
+/// `PURGE_NEWS_SEED` and `PURGE_NEWS_SEEDS` choose the seeds.
+#[test]
+fn drawn_reloads_and_outages_bring_no_copy_from_before_a_purge_that_counts_as_told() {
+    let (first, count) = (setting(FIRST_SEED), setting(SEEDS));
+    let mut broken = Vec::new();
+    for batch in (first..first + count).step_by(PARALLEL as usize) {
+        let seeds = batch..(first + count).min(batch + PARALLEL);
+        let threads: Vec<_> = seeds.map(|seed| (seed, thread::spawn(move || play_seed(seed)))).collect();
+        for (seed, thread) in threads {
+            let faults = thread.join().unwrap();
+            broken.extend(faults.into_iter().map(|fault| format!("seed {seed}: {fault}")));
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -298,6 +298,7 @@
         }
         proxy.check_get_balance();
         proxy.log_memory_actions();
+        proxy.begin_wait();
         let longest = &mut proxy.counters.longest_iteration_us;
         *longest = (*longest).max(iteration_start.elapsed().as_micros() as u64);
     }
@@ -320,9 +321,11 @@
             log::warn!("replicas are polled, and their addresses can't change while running; keeping them");
             return;
         }
-        self.proxy.purge_news.on_reload(self.proxy.now);
+        let now = self.proxy.clock.now();
+        let reloaded = self.proxy.event_time(now, Duration::ZERO);
+        self.proxy.purge_news.on_reload(reloaded);
         if let Some(address) = address {
-            self.proxy.change_log.set_address(address, self.proxy.now);
+            self.proxy.change_log.set_address(address, now);
         }
     }
 
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use myrtlegauge::host_life::{EndEvidence, is_to_new_process};
 use myrtlegauge::interface::{End, HostEntry, HostIndex, HostStatus, PurgeKey};
+use myrtlegauge::purge_news::EventTime;
 use myrtlegauge::snapshot;
 use myrtlegauge_wire::change_log_client::{
     CANNOT_CONNECT, CONNECTION_LOST, LostPoll, SentPollTimes, SequenceCheck,
@@ -55,13 +56,25 @@
     /// Records which polls were lost and sent since the last call.
     fn record_polls(&mut self) {
         for LostPoll { sent_at, lost_at } in self.change_log.take_lost() {
-            self.purge_news.on_poll_lost(sent_at, lost_at);
+            self.purge_news.on_poll_lost(sent_at, self.event_time(lost_at, sent_at));
         }
         if let Some(SentPollTimes { sent_at, answer_due_at }) = self.change_log.take_sent() {
             self.purge_news.on_poll_sent(sent_at, answer_due_at);
         }
     }
 
+    /// When something may have happened that was noticed at a time and came after another one. What had happened before
+    /// the last wait but one for events began would have been noticed then: a wait that a signal or a stop of the process
+    /// ends may report nothing.
+    pub fn event_time(&self, noticed_at: Duration, not_before: Duration) -> EventTime {
+        EventTime { earliest: self.previous_wait_began_at.clamp(not_before, noticed_at), latest: noticed_at }
+    }
+
+    /// Records that the process is about to wait for events.
+    pub fn begin_wait(&mut self) {
+        self.previous_wait_began_at = std::mem::replace(&mut self.wait_began_at, self.clock.now());
+    }
+
     /// If the change log is polled, updates up to when purges may be in force that were not received. When that time
     /// advances, forwards that were not sent do not accept older copies any more.
     pub fn update_unknown_purges(&mut self) {
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -83,6 +83,9 @@
     pub clock: Clock,
     /// The time of the current round.
     pub now: Duration,
+    /// When the last wait for events began, and the one before.
+    pub wait_began_at: Duration,
+    pub previous_wait_began_at: Duration,
     pub codec: Codec,
     pub host_registry: HostRegistry,
     pub limits: ConnectionLimits,
@@ -202,6 +205,8 @@
             resource_usage,
             counters: Counters::default(),
             now: clock.now(),
+            wait_began_at: clock.now(),
+            previous_wait_began_at: clock.now(),
             codec,
             host_registry,
             limits,
--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -58,6 +58,14 @@
     Pause,
 }
 
+/// When something happened that the process may have noticed late, since it did not run all the time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTime {
+    pub earliest: Duration,
+    /// When it was noticed.
+    pub latest: Duration,
+}
+
 /// Which purges are known, from the polls of the change log and their answers.
 #[derive(Clone, Debug)]
 pub struct PurgeNews {
@@ -109,31 +117,31 @@
     }
 
     /// The connection of an unanswered poll was lost.
-    pub fn on_poll_lost(&mut self, sent_at: Duration, lost_at: Duration) {
+    pub fn on_poll_lost(&mut self, sent_at: Duration, lost: EventTime) {
         // A poll that has been unanswered for long stays so: what was known before it may have been dropped for it.
         let is_replaced = |unknown: &UnknownPurges| {
             let is_of_poll = unknown.told_by_poll_at == sent_at;
             match unknown.cause {
-                Cause::PollUnanswered => is_of_poll && unknown.in_force_from > lost_at,
-                Cause::AnswerOverdue => is_of_poll && unknown.until > lost_at,
+                Cause::PollUnanswered => is_of_poll && unknown.in_force_from > lost.earliest,
+                Cause::AnswerOverdue => is_of_poll && unknown.until > lost.earliest,
                 Cause::PollLost | Cause::Reload | Cause::Pause => false,
             }
         };
         self.unknown.retain(|unknown| !is_replaced(unknown));
-        let in_force_from = lost_at + TIME_TO_KNOWN_AFTER_LOSS + self.grace;
+        let in_force_from = lost.earliest + TIME_TO_KNOWN_AFTER_LOSS + self.grace;
         self.unknown.push(UnknownPurges {
-            until: lost_at,
+            until: lost.latest,
             in_force_from,
-            told_by_poll_at: lost_at,
+            told_by_poll_at: lost.latest,
             cause: Cause::PollLost,
         });
     }
 
     /// The configuration was reloaded, whatever it names. The change log may have moved, and what it has a while later
     /// counts as known then.
-    pub fn on_reload(&mut self, reloaded_at: Duration) {
-        let known_at = reloaded_at + TIME_TO_KNOWN_AFTER_RELOAD;
-        let in_force_from = known_at + self.grace;
+    pub fn on_reload(&mut self, reloaded: EventTime) {
+        let known_at = reloaded.latest + TIME_TO_KNOWN_AFTER_RELOAD;
+        let in_force_from = reloaded.earliest + TIME_TO_KNOWN_AFTER_RELOAD + self.grace + SOCKET_SLACK;
         let is_merged = |unknown: &&mut UnknownPurges| {
             unknown.cause == Cause::Reload && in_force_from < unknown.in_force_from + RELOAD_MERGE_TIME
         };
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{DispatcherRig, ms, object_request, settings};
-use myrtlegauge::purge_news::PurgeNews;
+use myrtlegauge::purge_news::{EventTime, PurgeNews};
 use proptest::prelude::*;
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -52,16 +52,24 @@
     })
 }
 
-/// Times of reloads (SIGHUP) in quick and in slow succession.
-fn reloads() -> impl Strategy<Value = Vec<Duration>> {
+/// A reload (SIGHUP), which may be noticed late.
+#[derive(Clone, Copy, Debug)]
+struct Reload {
+    at: Duration,
+    noticed: EventTime,
+}
+
+/// Reloads in quick and in slow succession.
+fn reloads(max_late_ms: u64) -> impl Strategy<Value = Vec<Reload>> {
     let gap_ms = prop_oneof![1..100u64, 50..4000u64, 4000..12_000u64];
-    prop::collection::vec(gap_ms, 0..6).prop_map(|gaps_ms| {
+    prop::collection::vec((gap_ms, 0..=max_late_ms, 0..=max_late_ms), 0..6).prop_map(|drawn| {
         let mut at = Duration::ZERO;
-        let reload = |gap_ms| {
+        let reload = |(gap_ms, early_ms, late_ms)| {
             at += ms(gap_ms);
-            at
+            let noticed = EventTime { earliest: at.saturating_sub(ms(early_ms)), latest: at + ms(late_ms) };
+            Reload { at, noticed }
         };
-        gaps_ms.into_iter().map(reload).collect()
+        drawn.into_iter().map(reload).collect()
     })
 }
 
@@ -86,9 +94,9 @@
 
 /// From when a purge is in force, by the pages: it counts as known by a poll, 4 s after a reload, if the change log has it by
 /// then, and 7 s after it was made at the latest.
-fn in_force_from(polls: &[Poll], reloads: &[Duration], purged_at: Duration, now: Duration) -> Duration {
-    let known_by_reload = |&reloaded_at: &Duration| {
-        let known_at = reloaded_at + KNOWN_AFTER_RELOAD;
+fn in_force_from(polls: &[Poll], reloads: &[Reload], purged_at: Duration, now: Duration) -> Duration {
+    let known_by_reload = |reload: &Reload| {
+        let known_at = reload.at + KNOWN_AFTER_RELOAD;
         (known_at >= purged_at).then_some(known_at)
     };
     let known_by_polls = polls.iter().filter_map(|poll| known_by_poll(poll, purged_at, now));
@@ -100,44 +108,51 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Sent,
-    Reload,
+    Reload { earliest: Duration },
     Answered { sent_at: Duration },
     Lost { sent_at: Duration },
 }
 
 /// All events up to a time, in their order.
-fn events_until(polls: &[Poll], reloads: &[Duration], now: Duration) -> Vec<(Duration, Event)> {
+fn events_until(polls: &[Poll], reloads: &[Reload], now: Duration) -> Vec<(Duration, Event)> {
     let sent = polls.iter().map(|poll| (poll.sent_at, Event::Sent));
     let ended = polls.iter().filter_map(|&Poll { sent_at, fate }| match fate {
         Fate::Answered { after_ms } => Some((sent_at + ms(after_ms), Event::Answered { sent_at })),
         Fate::Lost { after_ms } => Some((sent_at + ms(after_ms), Event::Lost { sent_at })),
         Fate::Unanswered => None,
     });
-    let reloaded = reloads.iter().map(|&at| (at, Event::Reload));
+    let reloaded = reloads
+        .iter()
+        .map(|&Reload { noticed: EventTime { earliest, latest }, .. }| (latest, Event::Reload { earliest }));
     let mut events: Vec<_> = sent.chain(ended).chain(reloaded).filter(|&(at, _)| at <= now).collect();
     events.sort();
     events
 }
 
 /// The state at a time, with what has happened by then, and up to when all purges were received.
-fn state_at(polls: &[Poll], reloads: &[Duration], now: Duration) -> (PurgeNews, Duration) {
+fn state_at(polls: &[Poll], reloads: &[Reload], now: Duration) -> (PurgeNews, Duration) {
     let mut news = new_state();
     let mut known_until = Duration::ZERO;
     for (at, event) in events_until(polls, reloads, now) {
         news.in_force_until(at);
         match event {
             Event::Sent => news.on_poll_sent(at, at + WAIT),
-            Event::Reload => news.on_reload(at),
+            Event::Reload { earliest } => news.on_reload(EventTime { earliest, latest: at }),
             Event::Answered { sent_at } => {
                 news.on_poll_answered(sent_at);
                 known_until = known_until.max(sent_at);
             }
-            Event::Lost { sent_at } => news.on_poll_lost(sent_at, at),
+            Event::Lost { sent_at } => news.on_poll_lost(sent_at, exactly(at)),
         }
     }
     (news, known_until)
 }
 
+/// An event that was noticed when it happened.
+fn exactly(at: Duration) -> EventTime {
+    EventTime { earliest: at, latest: at }
+}
+
 fn new_state() -> PurgeNews {
     PurgeNews::new(settings().as_object().unwrap(), Duration::ZERO)
 }
@@ -150,14 +165,14 @@
     #[test]
     fn no_copy_is_accepted_that_an_unheard_purge_in_force_forbids(
         polls in polls(),
-        reloads in reloads(),
+        reloads in reloads(700),
         purged_ms in 1..30_000u64,
         now_ms in 1..40_000u64,
     ) {
         let (purged_at, now) = (ms(purged_ms), ms(now_ms));
         let (mut news, known_until) = state_at(&polls, &reloads, now);
         let polls: Vec<Poll> = polls.into_iter().filter(|poll| poll.sent_at <= now).collect();
-        let reloads: Vec<Duration> = reloads.into_iter().filter(|&at| at <= now).collect();
+        let reloads: Vec<Reload> = reloads.into_iter().filter(|reload| reload.noticed.latest <= now).collect();
         let is_in_force = now >= in_force_from(&polls, &reloads, purged_at, now) + SOCKET_SLACK;
         let is_anywhere = now < purged_at + GONE_AFTER;
         if purged_at > known_until && is_in_force && is_anywhere {
@@ -170,15 +185,15 @@
     #[test]
     fn while_polls_are_answered_in_time_every_copy_is_accepted(
         round_trips_ms in prop::collection::vec(0..MAX_ROUND_TRIP_MS, 1..80),
-        reloads in reloads(),
+        reloads in reloads(0),
         wait_fraction in 0.0..1.0f64,
     ) {
         let mut news = new_state();
         let mut now = Duration::ZERO;
         let mut reloads = reloads.into_iter().peekable();
         for round_trip_ms in round_trips_ms {
-            while let Some(at) = reloads.next_if(|&at| at <= now) {
-                news.on_reload(at);
+            while let Some(reload) = reloads.next_if(|reload| reload.at <= now) {
+                news.on_reload(reload.noticed);
             }
             let until_wanted = news.poll_wanted_at(now).map(|at| at.saturating_sub(now));
             let wait = until_wanted.unwrap_or(WAIT).min(WAIT).max(ms(1));
