Reloads: the log tells from when copies will be refused, and that it begins, ends or is called off

Cause: an operator who moves the change log saw nothing of what a reload asks of it until copies were refused, and then only that the change log was not heard.

Evidence: the_log_tells_that_copies_will_be_refused_after_a_reload_and_that_this_begins_ends_or_is_called_off (a process, two reloads: change log up, and refused for 5.5 s) passes; the drawn properties on purge news and the tests of the dispatcher pass.

--- a/crates/cli/tests/purge_news/main.rs
+++ b/crates/cli/tests/purge_news/main.rs
@@ -43,6 +43,7 @@
     change_log: ChangeLog,
     service: Service,
     file: TempFile,
+    log: TempFile,
     process: KillOnDrop,
     sighups: Vec<Instant>,
 }
@@ -55,15 +56,27 @@
         let change_log = ChangeLog::start(&history, Service::Up);
         let text = config_text(listen, change_log.address, &host);
         let file = TempFile::new(&format!("purge-news-{}.json", listen.port()), &text);
+        let log = TempFile::new(&format!("purge-news-{}.log", listen.port()), "");
         let mut child = program();
-        child.env("ROUTER_CONFIG", file.path()).stdout(Stdio::null()).stderr(Stdio::null());
+        child.env("ROUTER_CONFIG", file.path()).env("RUST_LOG", "info");
+        child.stdout(Stdio::null()).stderr(std::fs::File::create(log.path()).unwrap());
         let process = KillOnDrop(child.spawn().unwrap());
         let started_at = Instant::now();
         while TcpStream::connect(listen).is_err() {
             assert!(started_at.elapsed() < TIMEOUT, "the dispatcher does not listen");
             sleep(GET_PAUSE);
         }
-        Self { listen, host, history, change_log, service: Service::Up, file, process, sighups: Vec::new() }
+        Self {
+            listen,
+            host,
+            history,
+            change_log,
+            service: Service::Up,
+            file,
+            log,
+            process,
+            sighups: Vec::new(),
+        }
     }
 
     fn carry_out(&mut self, step: Step) {
@@ -91,6 +104,13 @@
         send_signal(&self.process.0, "-HUP");
         self.sighups.push(Instant::now());
     }
+
+    /// The lines on reloads that the dispatcher has logged, without their times.
+    fn lines_on_reloads(&self) -> Vec<String> {
+        let log = std::fs::read_to_string(self.log.path()).unwrap();
+        let lines = log.lines().filter_map(|line| Some(line.split_once("reload: ")?.1.to_owned()));
+        lines.map(|line| line.split(" refused_in_ms").next().unwrap_or_default().to_owned()).collect()
+    }
 }
 
 fn config_text(listen: SocketAddr, change_log: SocketAddr, host: &Host) -> String {
@@ -281,3 +301,28 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Guards against a refusal of copies that the operator is not told of, or told of in vain.
+#[test]
+fn the_log_tells_that_copies_will_be_refused_after_a_reload_and_that_this_begins_ends_or_is_called_off() {
+    const ANNOUNCED: &str = "cached copies will be refused unless the change log is heard";
+    let mut rig = Rig::start();
+    sleep(millis(1000));
+    rig.carry_out(Step::Reload(File::Moved));
+    sleep(millis(4500));
+    let called_off = [ANNOUNCED, "the change log was heard in time, no copies are refused"];
+    assert_eq!(rig.lines_on_reloads(), called_off);
+    rig.carry_out(Step::Serve(Service::Refused));
+    rig.carry_out(Step::Reload(File::Moved));
+    sleep(millis(5500));
+    let refusing = [ANNOUNCED, "the change log was not heard in time, refusing older copies"];
+    assert_eq!(rig.lines_on_reloads(), [called_off, refusing].concat());
+    rig.carry_out(Step::Serve(Service::Up));
+    sleep(millis(1500));
+    let ended = ["the change log was heard, accepting older copies again"];
+    assert_eq!(rig.lines_on_reloads(), [&called_off[..], &refusing, &ended].concat());
+}
+
+fn millis(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -21,6 +21,7 @@
 mod news_watch;
 mod proxy;
 mod ready_queue;
+mod reload_watch;
 pub mod replicas;
 mod request_queue;
 mod slow_start_check;
@@ -323,7 +324,8 @@
         }
         let now = self.proxy.clock.now();
         let reloaded = self.proxy.event_time(now, Duration::ZERO);
-        self.proxy.purge_news.on_reload(reloaded);
+        let terms = self.proxy.purge_news.on_reload(reloaded);
+        self.proxy.reload_watch.on_reload(terms, now);
         if let Some(address) = address {
             self.proxy.change_log.set_address(address, now);
         }
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -42,6 +42,7 @@
             }
             self.record_polls();
             self.news_watch.on_age(self.purge_news.age(self.now));
+            self.reload_watch.follow(self.purge_news.known_until(), self.now);
             return;
         };
         let errors: Vec<_> =
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -15,6 +15,7 @@
 use super::memory::{MAX_UNREAD_TIME, MemoryAccount};
 use super::news_watch::NewsWatch;
 use super::ready_queue::ReadyQueue;
+use super::reload_watch::ReloadWatch;
 use super::replicas::ReplicaClient;
 use super::request_queue::RequestQueue;
 use super::slow_start_check::WrittenRequests;
@@ -170,6 +171,7 @@
     /// Which purges were received, from the polls of the change log.
     pub purge_news: PurgeNews,
     pub news_watch: NewsWatch,
+    pub reload_watch: ReloadWatch,
     /// The time up to which purges may be in force that were not received: after the process was paused, while the
     /// change log is silent or late or, with replicas, while none answers.
     pub purges_unknown_since: Option<Duration>,
@@ -258,6 +260,7 @@
             written_requests: WrittenRequests::default(),
             purge_news,
             news_watch: NewsWatch::default(),
+            reload_watch: ReloadWatch::default(),
             purges_unknown_since: None,
             startup: StartupTimeline::start(clock.now()),
             zones: None,
--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -66,6 +66,15 @@
     pub latest: Duration,
 }
 
+/// What a reload asks of the change log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReloadTerms {
+    /// From this time on, copies are refused that purges may forbid which were not received.
+    pub refused_from: Duration,
+    /// The answer to a poll that is sent at this time or later ends that.
+    pub heard_by_poll_at: Duration,
+}
+
 /// Which purges are known, from the polls of the change log and their answers.
 #[derive(Clone, Debug)]
 pub struct PurgeNews {
@@ -139,22 +148,22 @@
 
     /// The configuration was reloaded, whatever it names. The change log may have moved, and what it has a while later
     /// counts as known then.
-    pub fn on_reload(&mut self, reloaded: EventTime) {
+    pub fn on_reload(&mut self, reloaded: EventTime) -> ReloadTerms {
         let known_at = reloaded.latest + TIME_TO_KNOWN_AFTER_RELOAD;
         let in_force_from = reloaded.earliest + TIME_TO_KNOWN_AFTER_RELOAD + self.grace + SOCKET_SLACK;
         let is_merged = |unknown: &&mut UnknownPurges| {
             unknown.cause == Cause::Reload && in_force_from < unknown.in_force_from + RELOAD_MERGE_TIME
         };
-        if let Some(last) = self.unknown.iter_mut().rev().find(is_merged) {
-            (last.until, last.told_by_poll_at) = (known_at, known_at);
-            return;
+        match self.unknown.iter_mut().rev().find(is_merged) {
+            Some(last) => (last.until, last.told_by_poll_at) = (known_at, known_at),
+            None => self.unknown.push(UnknownPurges {
+                until: known_at,
+                in_force_from,
+                told_by_poll_at: known_at,
+                cause: Cause::Reload,
+            }),
         }
-        self.unknown.push(UnknownPurges {
-            until: known_at,
-            in_force_from,
-            told_by_poll_at: known_at,
-            cause: Cause::Reload,
-        });
+        ReloadTerms { refused_from: in_force_from, heard_by_poll_at: known_at }
     }
 
     /// The earliest time, after the last poll was sent, from which on a poll has to be answered soon so that no copies
@@ -180,6 +189,11 @@
         self.known_until < self.resumed_at
     }
 
+    /// All purges up to this time were received.
+    pub fn known_until(&self) -> Duration {
+        self.known_until
+    }
+
     /// Time since which all purges were received.
     pub fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.known_until)
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -137,7 +137,7 @@
         news.in_force_until(at);
         match event {
             Event::Sent => news.on_poll_sent(at, at + WAIT),
-            Event::Reload { earliest } => news.on_reload(EventTime { earliest, latest: at }),
+            Event::Reload { earliest } => _ = news.on_reload(EventTime { earliest, latest: at }),
             Event::Answered { sent_at } => {
                 news.on_poll_answered(sent_at);
                 known_until = known_until.max(sent_at);
