Dispatcher: updates of the host list are a module of their own, and each kind of poll a function

Change: host_updates takes what concerns the list, its hosts and their connections, unchanged; poll() picks one of two functions.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod executed_ids;
 mod forwards;
 mod guards;
+mod host_updates;
 mod hosts;
 mod in_flight;
 mod lifecycle;
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -1,23 +1,19 @@
-//! Updates of the host list and purges, from the change log or the replicas, applied once each and in order. Also
-//! detects pauses of the process, after which these may have been missed.
+//! News from the change log or the replicas: polls, answers and purges, applied once each and in order. Also detects
+//! pauses of the process, after which news may have been missed.
 
-use super::hosts::{Host, OutdatedDecisions};
+use super::hosts::OutdatedDecisions;
 use super::in_flight::{InFlightForward, PendingGet};
 use super::news_watch::NewsFault;
 use super::proxy::Proxy;
 use super::replicas::{Change, PurgeUncertainty};
-use bytes::Bytes;
-use myrtlegauge::host_life::{EndEvidence, is_to_new_process};
-use myrtlegauge::interface::{End, HostEntry, HostIndex, HostStatus, PurgeKey};
+use myrtlegauge::host_life::EndEvidence;
+use myrtlegauge::interface::{End, HostIndex, PurgeKey};
 use myrtlegauge::purge_news::EventTime;
 use myrtlegauge::snapshot;
 use myrtlegauge_wire::change_log_client::{
     CANNOT_CONNECT, CONNECTION_LOST, LostPoll, SentPollTimes, SequenceCheck,
 };
-use myrtlegauge_wire::protocol::changelog::Endpoint;
 use myrtlegauge_wire::protocol::changelog_answer::AnswerPart;
-use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The shortest gap between two event loop iterations that counts as a pause of the process. The loop wakes up many
@@ -25,26 +21,19 @@
 const MIN_PAUSE: Duration = Duration::from_millis(750);
 /// Unit of the accepted ages that are sent to hosts.
 const COPY_AGE_RESOLUTION: Duration = Duration::from_millis(1);
-/// A removed host's slot is released this long after the longest client wait, for forwards that end at that time.
-const RELEASE_MARGIN: Duration = Duration::from_millis(1000);
 
 impl Proxy {
     /// Polls the change log, or the replicas if they are polled in its place.
     pub fn poll(&mut self) {
-        let Self { replicas, event_loop, resource_usage, now, .. } = self;
-        let Some(replicas) = replicas else {
-            let poll_wanted_at = self.purge_news.poll_wanted_at(self.change_log.polled_at());
-            self.change_log.want_poll_at(poll_wanted_at);
-            let has_failed = self.change_log.poll_if_due(&self.event_loop, &self.resource_usage, self.now);
-            self.counters.polls_failed += u64::from(has_failed);
-            if has_failed {
-                self.news_watch.on_fault(NewsFault::Silent);
-            }
-            self.record_polls();
-            self.news_watch.on_age(self.purge_news.age(self.now));
-            self.reload_watch.follow(self.purge_news.known_until(), self.now);
-            return;
-        };
+        if self.replicas.is_some() {
+            self.poll_replicas();
+        } else {
+            self.poll_change_log();
+        }
+    }
+
+    fn poll_replicas(&mut self) {
+        let Self { replicas: Some(replicas), event_loop, resource_usage, now, .. } = self else { return };
         let errors: Vec<_> =
             std::iter::from_fn(|| replicas.next_result(*now)).filter_map(Result::err).collect();
         replicas.send_polls(event_loop, resource_usage, *now);
@@ -54,6 +43,19 @@
         }
     }
 
+    fn poll_change_log(&mut self) {
+        let poll_wanted_at = self.purge_news.poll_wanted_at(self.change_log.polled_at());
+        self.change_log.want_poll_at(poll_wanted_at);
+        let has_failed = self.change_log.poll_if_due(&self.event_loop, &self.resource_usage, self.now);
+        if has_failed {
+            self.counters.polls_failed += 1;
+            self.news_watch.on_fault(NewsFault::Silent);
+        }
+        self.record_polls();
+        self.news_watch.on_age(self.purge_news.age(self.now));
+        self.reload_watch.follow(self.purge_news.known_until(), self.now);
+    }
+
     /// Records which polls were lost and sent since the last call.
     fn record_polls(&mut self) {
         for LostPoll { sent_at, lost_at } in self.change_log.take_lost() {
@@ -310,73 +312,6 @@
         key
     }
 
-    /// Applies lines of the host list and returns their entries. A restarted host gets new connections. Hosts missing
-    /// from a full list are removed.
-    pub fn update_hosts(&mut self, lines: &[Endpoint<'_>], is_full_list: bool) -> Vec<HostEntry> {
-        let mut entries = Vec::with_capacity(lines.len());
-        if is_full_list {
-            self.remove_unlisted_hosts(lines);
-        }
-        for line in lines {
-            let (index, is_new_host) = self.host_registry.register(&line.name);
-            if is_new_host {
-                let host = Host {
-                    name: Bytes::copy_from_slice(line.name.as_bytes()),
-                    entry: HostEntry { host: index, weight: 1.0, ..HostEntry::default() },
-                    address: None,
-                    removed_at: None,
-                    process_ended_at: None,
-                    was_reached: false,
-                    links: Vec::new(),
-                };
-                self.written_requests.forget(index);
-                match self.hosts.get_mut(index) {
-                    Some(slot) => *slot = host,
-                    None => self.hosts.push(host),
-                }
-            }
-            let Host { entry: known, address, .. } = &self.hosts[index];
-            let (entry, fault) = self.host_registry.resolve_entry(known, line, &self.clock, self.now);
-            let address = line.address.parse().ok().or(*address);
-            if let Some(fault) = fault {
-                self.report_fault(format_args!("host {} has {fault}; treating it as removed", line.name));
-            }
-            self.update_host(index, entry, address);
-            entries.push(self.zones.as_ref().map_or(entry, |zones| zones.adjust_entry(entry)));
-        }
-        self.has_host_list |= !entries.is_empty();
-        if self.has_host_list && self.startup.hosts_known(self.now) {
-            self.log_startup_step("ready");
-        }
-        entries
-    }
-
-    /// Removes the hosts that a full list does not name.
-    fn remove_unlisted_hosts(&mut self, lines: &[Endpoint<'_>]) {
-        let listed: HashSet<&[u8]> = lines.iter().map(|line| line.name.as_bytes()).collect();
-        for index in 0..self.hosts.len() {
-            let Host { entry, address, ref name, .. } = self.hosts[index];
-            if !listed.contains(&name[..]) {
-                self.update_host(index, HostEntry { status: HostStatus::Removed, ..entry }, address);
-            }
-        }
-    }
-
-    /// Applies a host's current entry and address, and closes or retires its connections accordingly.
-    fn update_host(&mut self, index: HostIndex, entry: HostEntry, address: Option<SocketAddr>) {
-        let is_removed = entry.status == HostStatus::Removed;
-        let host = &mut self.hosts[index];
-        let has_restarted = has_new_start(&host.entry, &entry);
-        (host.entry, host.removed_at) = (entry, host.removed_at.or(Some(self.now)).filter(|_| is_removed));
-        if has_restarted {
-            self.record_listed_start(index);
-        }
-        self.close_outdated_links(index, address, has_restarted);
-        if entry.status != HostStatus::Active {
-            self.outdated_decisions.hosts.insert(index);
-        }
-    }
-
     /// Cancels the forwards that contradict the drains and purges received since the last call, if they were not sent.
     pub fn cancel_outdated_forwards(&mut self) {
         let outdated = std::mem::take(&mut self.outdated_decisions);
@@ -387,54 +322,6 @@
         }
     }
 
-    /// Releases the slots of hosts that were removed longer ago than any GET lasts. By then no GET in flight and
-    /// nothing in the decision module refers to the host's index, so a new host may reuse it.
-    pub fn release_removed_hosts(&mut self) {
-        let release_after = self.limits.max_client_wait + RELEASE_MARGIN;
-        for (index, host) in self.hosts.iter_mut().enumerate() {
-            let is_expired = host.removed_at.is_some_and(|at| self.now >= at + release_after);
-            if is_expired && host.links.is_empty() && !host.name.is_empty() {
-                self.host_registry.unregister(&host.name);
-                self.counters.hosts_released += 1;
-                host.name = Bytes::new();
-                self.host_addresses.replace(index, &mut host.address, None, self.now);
-            }
-        }
-    }
-
-    /// Ends connections to a process that no longer exists: this host's earlier process, or another host's process at
-    /// the same address.
-    ///
-    /// After a reported restart, connections are kept that were established after the old process was observed to
-    /// end, since they lead to the new one.
-    fn close_outdated_links(&mut self, index: HostIndex, address: Option<SocketAddr>, has_restarted: bool) {
-        let process_ended_at = self.hosts[index].process_ended_at;
-        let known_address =
-            self.host_addresses.replace(index, &mut self.hosts[index].address, address, self.now);
-        let has_moved = known_address != address;
-        if let Some(address) = address.filter(|_| has_restarted) {
-            self.host_addresses.restart(index, address, self.now);
-        }
-        self.hosts[index].was_reached &= !has_moved && !has_restarted;
-        let entry = self.hosts[index].entry;
-        // Another host's process at the same address has ended once this one is active there.
-        let replaced = address.filter(|_| entry.status == HostStatus::Active);
-        let replaced = replaced.map_or(Vec::new(), |address| self.host_addresses.hosts_at(address).collect());
-        for host in replaced.into_iter().filter(|&host| host != index).chain([index]) {
-            let is_same_host = host == index;
-            for key in self.hosts[host].links.clone() {
-                let link = &mut self.links[key];
-                let is_to_old_process =
-                    link.is_up && !is_to_new_process(link.opened_at, process_ended_at, self.list_known);
-                if !is_same_host || has_moved || has_restarted && is_to_old_process {
-                    self.fail_link(key, End::Reset);
-                } else if entry.status == HostStatus::Removed {
-                    link.is_retired = true;
-                }
-            }
-        }
-    }
-
     /// Cancels affected forwards of which no byte was sent, because they wait for a connection or for a host that
     /// does not read. They were decided before the current update, have not run and are decided again. This protects
     /// drains and purges, whose grace may be shorter than it takes to connect or than a host hangs. The cost is one
@@ -462,8 +349,3 @@
         }
     }
 }
-
-/// Whether a host's listed entry has another start than the known one.
-fn has_new_start(known: &HostEntry, listed: &HostEntry) -> bool {
-    listed.start.claimed_unix_ms() != 0 && listed.start.claimed_unix_ms() != known.start.claimed_unix_ms()
-}
