Client library: one abandoned call or one malformed answer ends no other call

Cause: the end of an aborted request, END_REQUEST without output, went through the parser of answers, which found no head; the driver closed the connection as unreadable. The same for a malformed answer in sound records, and for a connection with over 64 aborted requests that had no end. Numbers came again after 65,535 whatever became of their requests.

Change: the reader is told the state of each number. Records of an aborted request are passed over; a malformed or too large answer ends its request alone. Numbers in use are passed over, and a connection with too many ends outstanding gets no more requests and closes once it has none.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -1,13 +1,15 @@
 //! The driver: runs the core on an event loop of its own and holds the connections. It makes no decisions.
 
 use crate::decide::{
-    ActionSink, AttemptId, CallId, CallOutcome, ConnectionId, Core, DispatcherAnswer, Round,
+    ActionSink, AttemptId, CallId, CallOutcome, ConnectionId, Core, DispatcherAnswer, Round, number_after,
 };
 use crate::terms::*;
 use bytes::{Bytes, BytesMut};
 use calloop::EventLoop;
 use myrtlegauge_wire::protocol::StreamError;
-use myrtlegauge_wire::protocol::fastcgi_client::{self, Response, ResponseReader};
+use myrtlegauge_wire::protocol::fastcgi_client::{
+    self, RequestState, Response, ResponseEvent, ResponseReader,
+};
 use myrtlegauge_wire::transport::{
     Connection, EventLoopHandle, ReadOutcome, ReadinessHandler, ResourceUsage,
 };
@@ -20,7 +22,8 @@
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes read from one connection before the others get their turn.
 const MAX_READ_BYTES: usize = 256 * 1024;
-/// Maximum number of aborted requests without an end on one connection. A connection with more is closed.
+/// Maximum number of aborted requests without an end on one connection. One with more gets no further requests, and is
+/// closed once it has none.
 const MAX_ABORTED_REQUESTS: usize = 64;
 /// Records of resends that are kept until the caller reads them.
 const MAX_RESEND_RECORDS: usize = 1024;
@@ -53,6 +56,32 @@
         let index = self.open.iter().position(|request| request.number == number)?;
         Some(self.open.swap_remove(index))
     }
+
+    /// Tells the dispatcher to abort a request, whose end is passed over when it comes.
+    fn send_abort(&mut self, number: u16, write_buffer: &mut BytesMut) {
+        self.responses.discard(number);
+        self.aborted.push(number);
+        fastcgi_client::write_abort(write_buffer, number);
+        self.connection.enqueue(write_buffer.split().freeze());
+        let _ = self.connection.flush();
+    }
+
+    /// Reads the next event of a response.
+    fn next_event(&mut self) -> Result<Option<ResponseEvent>, StreamError> {
+        let Self { connection, responses, open, aborted, .. } = self;
+        connection
+            .parse(|inbound| responses.next_event(inbound, |number| request_state(open, aborted, number)))
+    }
+}
+
+fn request_state(open: &[SentRequest], aborted: &[u16], number: u16) -> RequestState {
+    if open.iter().any(|request| request.number == number) {
+        RequestState::Open
+    } else if aborted.contains(&number) {
+        RequestState::Aborted
+    } else {
+        RequestState::Unknown
+    }
 }
 
 /// A call with its arguments and its answer.
@@ -174,14 +203,18 @@
             return Reached::NotWhole;
         }
         // The rest of a partly written request follows, since other requests are behind it, so that it may become whole.
-        link_state.responses.discard(number);
-        link_state.aborted.push(number);
-        fastcgi_client::write_abort(&mut self.write_buffer, number);
-        link_state.connection.enqueue(self.write_buffer.split().freeze());
-        let _ = link_state.connection.flush();
+        link_state.send_abort(number, &mut self.write_buffer);
         Reached::Whole
     }
 
+    fn free_number(&self, connection_id: ConnectionId, from: u16) -> Option<u16> {
+        let Link { open, aborted, .. } = self.links.get(&connection_id)?;
+        let is_free = |&number: &u16| request_state(open, aborted, number) == RequestState::Unknown;
+        let mut numbers = std::iter::successors(Some(from), |&number| Some(number_after(number)));
+        // One of them is free, since far fewer are in use.
+        if aborted.len() < MAX_ABORTED_REQUESTS { numbers.find(is_free) } else { None }
+    }
+
     fn close(&mut self, connection_id: ConnectionId) {
         self.links.remove(&connection_id);
     }
@@ -395,12 +428,8 @@
     }
     loop {
         let Some(link_state) = round.sink().links.get_mut(&connection_id) else { return Ok(false) };
-        let Link { connection, responses, open, aborted, .. } = link_state;
-        let is_known =
-            |number: u16| open.iter().any(|request| request.number == number) || aborted.contains(&number);
-        match connection.parse(|inbound| responses.next_response(inbound, is_known)) {
-            Ok(Some(response)) => on_response(round, connection_id, response),
-            Ok(None) if aborted.len() > MAX_ABORTED_REQUESTS => return Err(End::Spoilt),
+        match link_state.next_event() {
+            Ok(Some(event)) => on_response_event(round, connection_id, event),
             Ok(None) => break,
             Err(StreamError(reason)) => {
                 log::warn!("malformed answer from a dispatcher, closing its connection: {reason}");
@@ -415,12 +444,33 @@
     }
 }
 
+fn on_response_event(round: &mut Round<'_, Driver>, connection_id: ConnectionId, event: ResponseEvent) {
+    match event {
+        ResponseEvent::Complete(response) => on_response(round, connection_id, response),
+        ResponseEvent::Malformed { number, has_ended, reason } => {
+            log::warn!("malformed answer from a dispatcher to one request: {}", reason.0);
+            end_malformed(round.sink(), connection_id, number, has_ended);
+            round.on_answer(connection_id, number, DispatcherAnswer::Malformed);
+        }
+        ResponseEvent::AbortEnded { number } => {
+            if let Some(link_state) = round.sink().links.get_mut(&connection_id) {
+                link_state.aborted.retain(|&aborted| aborted != number);
+            }
+        }
+    }
+}
+
+/// Ends a request whose answer is malformed, and aborts it if more of the answer follows.
+fn end_malformed(driver: &mut Driver, connection_id: ConnectionId, number: u16, has_ended: bool) {
+    let Some(link_state) = driver.links.get_mut(&connection_id) else { return };
+    link_state.take_open(number);
+    if !has_ended {
+        link_state.send_abort(number, &mut driver.write_buffer);
+    }
+}
+
 fn on_response(round: &mut Round<'_, Driver>, connection_id: ConnectionId, response: Response) {
     let Some(link_state) = round.sink().links.get_mut(&connection_id) else { return };
-    if let Some(index) = link_state.aborted.iter().position(|&number| number == response.number) {
-        link_state.aborted.swap_remove(index);
-        return;
-    }
     let Some(SentRequest { number, call, .. }) = link_state.take_open(response.number) else { return };
     let answer = match response.status {
         Some(200) => DispatcherAnswer::Returned,
--- a/crates/client/src/decide.rs
+++ b/crates/client/src/decide.rs
@@ -56,6 +56,9 @@
     /// Ends an attempt that nobody waits for any more: withdraws its request if no byte of it was sent, else tells the
     /// dispatcher to abort it. Returns `NotWhole` only if the request can't reach the dispatcher whole any more.
     fn abort(&mut self, connection: ConnectionId, number: u16) -> Reached;
+    /// The first number, from this one on, under which no request is open on a connection, and none is aborted whose end
+    /// was not read. `None` if so many aborted ones have no end that the connection takes no more requests.
+    fn free_number(&self, connection: ConnectionId, from: u16) -> Option<u16>;
     /// Closes a connection. Its id may be reused afterwards.
     fn close(&mut self, connection: ConnectionId);
     /// Reports the one outcome of a call. Its id may be reused afterwards. The bytes of a returned answer are with the
@@ -81,6 +84,13 @@
     /// With the requested pause in milliseconds, if the refusal has a number.
     Shed(Option<f64>),
     Errored,
+    /// It can't be used.
+    Malformed,
+}
+
+/// The FastCGI request id after another one. Zero is reserved for the connection.
+pub fn number_after(number: u16) -> u16 {
+    number.checked_add(1).unwrap_or(1)
 }
 
 /// Whether and where a GET may be retried after an attempt; no other code decides this. A dispatcher accepts a request
@@ -333,6 +343,10 @@
                 dispatcher_state.record_outcome(false, now);
                 self.on_attempt_failed(open.call, dispatcher, open.sent_at, End::Errored, Reached::Whole);
             }
+            DispatcherAnswer::Malformed => {
+                dispatcher_state.record_outcome(false, now);
+                self.on_attempt_failed(open.call, dispatcher, open.sent_at, End::Spoilt, Reached::Whole);
+            }
         }
     }
 
@@ -451,12 +465,16 @@
         let usable = core.connections.iter().filter(|(_, connection)| {
             is_at(connection) && connection.is_up && connection.open.len() < MAX_REQUESTS_PER_CONNECTION
         });
-        let least_loaded =
-            usable.min_by_key(|(id, connection)| (connection.open.len(), *id)).map(|(id, _)| id);
+        let sink = &*self.sink;
+        let numbered = usable.filter_map(|(id, connection)| {
+            let number = sink.free_number(id, connection.next_number)?;
+            Some((connection.open.len(), id, number))
+        });
+        let least_loaded = numbered.min().map(|(_, id, number)| (id, number));
         let count = core.connections.iter().filter(|(_, connection)| is_at(connection)).count();
         let is_connecting =
             core.connections.iter().any(|(_, connection)| is_at(connection) && !connection.is_up);
-        let is_busy = least_loaded.is_none_or(|id| !core.connections[id].open.is_empty());
+        let is_busy = least_loaded.is_none_or(|(id, _)| !core.connections[id].open.is_empty());
         if is_busy && count < MAX_CONNECTIONS_PER_DISPATCHER && !is_connecting {
             let connection = Connection {
                 dispatcher,
@@ -469,7 +487,7 @@
             let connection = core.connections.insert(connection);
             self.sink.connect(connection, dispatcher);
         }
-        let Some(connection) = least_loaded else { return self.queue(call) };
+        let Some((connection, number)) = least_loaded else { return self.queue(call) };
         let core = &mut *self.core;
         let now = core.now;
         let dispatcher_state = &mut core.dispatchers[dispatcher];
@@ -495,8 +513,7 @@
         let silence_timeout =
             Duration::from_secs_f64(dispatcher_state.mean_answer_s * SILENCE_FACTOR).max(MIN_SILENCE_TIMEOUT);
         let sent_on = &mut core.connections[connection];
-        let number = sent_on.next_number;
-        sent_on.next_number = if sent_on.next_number == u16::MAX { 1 } else { sent_on.next_number + 1 };
+        sent_on.next_number = number_after(number);
         sent_on.open.push(OpenRequest { number, call, sent_at: now, overdue_at: now + silence_timeout });
         sent_call.in_flight = Some((connection, number));
         sent_call.attempts += 1;
@@ -559,6 +576,20 @@
         }
     }
 
+    /// Closes the connections that take no more requests and have none.
+    fn close_exhausted_connections(&mut self) {
+        let (core, sink) = (&mut *self.core, &mut *self.sink);
+        core.connections.retain(|id, connection| {
+            let is_exhausted = connection.is_up
+                && connection.open.is_empty()
+                && sink.free_number(id, connection.next_number).is_none();
+            if is_exhausted {
+                sink.close(id);
+            }
+            !is_exhausted
+        });
+    }
+
     /// Finishes a round: handles calls past their budget, connections not established in time or silent for too long, and
     /// waiting calls.
     fn finish_round(&mut self) {
@@ -595,6 +626,7 @@
         for connection in dead {
             self.on_connection_lost(connection, End::Silent, |_| Reached::Whole);
         }
+        self.close_exhausted_connections();
         for (_, connection) in &mut self.core.connections {
             for open in connection.open.iter_mut().filter(|open| now >= open.overdue_at) {
                 // The connection is alive: something was read after this GET was sent.
--- a/crates/client/tests/decisions.rs
+++ b/crates/client/tests/decisions.rs
@@ -74,6 +74,10 @@
         let _ = writeln!(self.text, "{:>6} abort", self.now.as_millis());
         Reached::Whole
     }
+    fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
+        Some(from)
+    }
+
     fn close(&mut self, connection: ConnectionId) {
         self.connections.remove(&connection);
         self.in_flight.retain(|(open_connection, ..)| *open_connection != connection);
--- a/crates/client/tests/outcomes.rs
+++ b/crates/client/tests/outcomes.rs
@@ -86,6 +86,10 @@
         Reached::Whole
     }
 
+    fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
+        Some(from)
+    }
+
     fn close(&mut self, connection: ConnectionId) {
         self.connections.remove(&connection);
         while let Some(index) = self.open.iter().position(|attempt| attempt.connection == connection) {
--- a/crates/lab/src/client/crowd.rs
+++ b/crates/lab/src/client/crowd.rs
@@ -78,6 +78,10 @@
     fn abort(&mut self, _: ConnectionId, _: u16) -> Reached {
         Reached::Whole
     }
+    fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
+        Some(from)
+    }
+
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, end: CallOutcome) {
         self.done.push(end);
@@ -350,6 +354,10 @@
     fn abort(&mut self, _: ConnectionId, _: u16) -> Reached {
         Reached::Whole
     }
+    fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
+        Some(from)
+    }
+
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, _: CallOutcome) {}
     fn record_resend(&mut self, _: &Resend) {}
--- a/crates/wire/src/protocol/fastcgi_client.rs
+++ b/crates/wire/src/protocol/fastcgi_client.rs
@@ -10,6 +10,9 @@
 
 /// Limit of the bytes of one response. An object has at most 240,000 bytes, and a head a few hundred.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
+/// Length of the content of an end record, and where its protocol status stands.
+const END_CONTENT_BYTES: usize = 8;
+const PROTOCOL_STATUS_INDEX: usize = 4;
 /// Limit of the bytes of a response's head.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
@@ -57,6 +60,34 @@
     pub body: Bytes,
 }
 
+/// What a client knows of a request number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestState {
+    /// Its response is awaited.
+    Open,
+    /// It was aborted, and its end was not read yet.
+    Aborted,
+    /// No request has this number.
+    Unknown,
+}
+
+/// What was read of the response to one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResponseEvent {
+    Complete(Response),
+    /// The response can't be used. The records around it can, and with them all other responses.
+    Malformed {
+        number: u16,
+        /// Its end was read: no more records of this request follow.
+        has_ended: bool,
+        reason: StreamError,
+    },
+    /// An aborted request has ended, with whatever output.
+    AbortEnded {
+        number: u16,
+    },
+}
+
 /// Reads the responses of one connection and holds those that are still incomplete.
 #[derive(Default)]
 pub struct ResponseReader {
@@ -70,58 +101,83 @@
         self.partial.iter().map(|(_, bytes)| bytes.len()).sum()
     }
 
-    /// The next complete response, or `None` until more bytes arrive. `open` returns whether a request of this number
-    /// is outstanding.
+    /// The next event, or `None` until more bytes arrive. `state` returns what is known of a request number.
     ///
     /// # Errors
-    /// A response is invalid, exceeds a limit or belongs to no request. The connection can no longer be used.
-    pub fn next_response(
+    /// A record is invalid or belongs to no request. The connection can no longer be used.
+    pub fn next_event(
         &mut self,
         inbound: &mut BytesMut,
-        open: impl Fn(u16) -> bool,
-    ) -> Result<Option<Response>, StreamError> {
+        state: impl Fn(u16) -> RequestState,
+    ) -> Result<Option<ResponseEvent>, StreamError> {
         while let Some((kind, number, record)) = fastcgi::next_record(inbound)? {
             if !matches!(kind, STDOUT | END_REQUEST) || number == 0 {
                 continue;
             }
-            if !open(number) {
-                return Err(StreamError("FastCGI response belongs to no request"));
-            }
-            let index = self.partial.iter().position(|(partial_number, _)| *partial_number == number);
-            if kind == STDOUT {
-                let index = index.unwrap_or_else(|| {
-                    self.partial.push((number, BytesMut::new()));
-                    self.partial.len() - 1
-                });
-                let bytes = &mut self.partial[index].1;
-                if bytes.len() + record.len() > MAX_RESPONSE_BYTES {
-                    return Err(StreamError("FastCGI response exceeds the size limit"));
+            let event = match (state(number), kind) {
+                (RequestState::Unknown, _) => {
+                    return Err(StreamError("FastCGI response belongs to no request"));
                 }
-                bytes.extend_from_slice(&record);
-                continue;
-            }
-            if record.len() != 8 {
-                return Err(StreamError("FastCGI end record is malformed"));
-            }
-            let bytes = index.map(|index| self.partial.swap_remove(index).1).unwrap_or_default();
-            return match record[4] {
-                OVERLOADED => {
-                    let (back_off_ms, body) = (None, Bytes::new());
-                    Ok(Some(Response { number, status: None, back_off_ms, is_held_copy_valid: false, body }))
-                }
-                COMPLETE => parse_response(number, bytes.freeze()).map(Some),
-                _ => Err(StreamError("FastCGI end record has an unknown protocol status")),
+                (RequestState::Open, STDOUT) => self.on_output(number, &record),
+                (RequestState::Open, _) => Some(self.on_end(number, &record)),
+                (RequestState::Aborted, STDOUT) => None,
+                (RequestState::Aborted, _) => Some(ResponseEvent::AbortEnded { number }),
             };
+            if event.is_some() {
+                return Ok(event);
+            }
         }
         Ok(None)
     }
 
+    /// Keeps output of an open request, unless it is too large.
+    fn on_output(&mut self, number: u16, output: &[u8]) -> Option<ResponseEvent> {
+        let index = self.partial.iter().position(|(partial_number, _)| *partial_number == number);
+        let index = index.unwrap_or_else(|| {
+            self.partial.push((number, BytesMut::new()));
+            self.partial.len() - 1
+        });
+        let bytes = &mut self.partial[index].1;
+        if bytes.len() + output.len() > MAX_RESPONSE_BYTES {
+            self.partial.swap_remove(index);
+            let reason = StreamError("FastCGI response exceeds the size limit");
+            return Some(ResponseEvent::Malformed { number, has_ended: false, reason });
+        }
+        bytes.extend_from_slice(output);
+        None
+    }
+
+    /// Takes the response of an open request at its end.
+    fn on_end(&mut self, number: u16, end: &[u8]) -> ResponseEvent {
+        let index = self.partial.iter().position(|(partial_number, _)| *partial_number == number);
+        let output = index.map(|index| self.partial.swap_remove(index).1).unwrap_or_default();
+        match parse_end(number, end, output.freeze()) {
+            Ok(response) => ResponseEvent::Complete(response),
+            Err(reason) => ResponseEvent::Malformed { number, has_ended: true, reason },
+        }
+    }
+
     /// Discards the incomplete response to a request that was aborted.
     pub fn discard(&mut self, number: u16) {
         self.partial.retain(|(partial_number, _)| *partial_number != number);
     }
 }
 
+/// Parses the end record of a request with its output before it.
+fn parse_end(number: u16, end: &[u8], output: Bytes) -> Result<Response, StreamError> {
+    if end.len() != END_CONTENT_BYTES {
+        return Err(StreamError("FastCGI end record is malformed"));
+    }
+    match end[PROTOCOL_STATUS_INDEX] {
+        OVERLOADED => {
+            let (back_off_ms, body) = (None, Bytes::new());
+            Ok(Response { number, status: None, back_off_ms, is_held_copy_valid: false, body })
+        }
+        COMPLETE => parse_response(number, output),
+        _ => Err(StreamError("FastCGI end record has an unknown protocol status")),
+    }
+}
+
 /// Parses the head of a CGI response.
 fn parse_response(number: u16, mut bytes: Bytes) -> Result<Response, StreamError> {
     let error = StreamError("FastCGI response has no complete head");
