--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -127,12 +127,13 @@
 
     /// The connection of an unanswered poll was lost.
     pub fn on_poll_lost(&mut self, sent_at: Duration, lost: EventTime) {
-        // A poll that has been unanswered for long stays so: what was known before it may have been dropped for it.
+        // What was in force when the loss was noticed stays: other entries may have been dropped for it.
         let is_replaced = |unknown: &UnknownPurges| {
             let is_of_poll = unknown.told_by_poll_at == sent_at;
+            let is_not_in_force = unknown.in_force_from > lost.latest;
             match unknown.cause {
-                Cause::PollUnanswered => is_of_poll && unknown.in_force_from > lost.earliest,
-                Cause::AnswerOverdue => is_of_poll && unknown.until > lost.earliest,
+                Cause::PollUnanswered => is_of_poll && is_not_in_force,
+                Cause::AnswerOverdue => is_of_poll && is_not_in_force && unknown.until > lost.earliest,
                 Cause::PollLost | Cause::Reload | Cause::Pause => false,
             }
         };
