Tests: polls are answered at any time within their wait again

Cause: rewrote the property that polls answered in time cost no copies, and drew one fraction of the wait, from a half on, for all answers of a case, where each had been drawn from 0 to 540 ms. That was narrower, and no message said so.

Change: each answer is drawn from 0 to 540 ms again, cut to 40 ms beyond a wait that a reload has shortened.

--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -193,14 +193,13 @@
     /// Guards against a sound change log that costs copies, also after reloads: each poll is answered when its wait is over.
     #[test]
     fn while_polls_are_answered_in_time_every_copy_is_accepted(
-        round_trips_ms in prop::collection::vec(0..MAX_ROUND_TRIP_MS, 1..80),
+        delays_ms in prop::collection::vec(0..(WAIT.as_millis() as u64 + MAX_ROUND_TRIP_MS), 1..80),
         reloads in reloads(0),
-        wait_fraction in 0.0..1.0f64,
     ) {
         let mut news = new_state();
         let mut now = Duration::ZERO;
         let mut reloads = reloads.into_iter().peekable();
-        for round_trip_ms in round_trips_ms {
+        for delay_ms in delays_ms {
             while let Some(reload) = reloads.next_if(|reload| reload.at <= now) {
                 news.on_reload(reload.noticed);
             }
@@ -208,7 +207,7 @@
             let wait = until_wanted.unwrap_or(WAIT).min(WAIT).max(ms(1));
             news.on_poll_sent(now, now + wait);
             let sent_at = now;
-            now += ms(round_trip_ms) + wait.mul_f64(if wait_fraction < 0.5 { 1.0 } else { wait_fraction });
+            now += ms(delay_ms).min(wait + ms(MAX_ROUND_TRIP_MS));
             prop_assert_eq!(news.in_force_until(now), None);
             news.on_poll_answered(sent_at);
         }
