--- a/crates/cli/tests/bad_clients/change_log.rs
+++ b/crates/cli/tests/bad_clients/change_log.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the change log: answers each poll once it has later events or the poll's time is over.
 
+use super::common::polls::{self, Poll};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -44,20 +45,10 @@
         while let Ok(count @ 1..) = stream.read(&mut buffer) {
             text.push_str(&String::from_utf8_lossy(&buffer[..count]));
             let Some(end) = text.find("\r\n\r\n") else { continue };
-            let number_after = |name: &str| {
-                let digits = text.split(name).nth(1).unwrap_or_default();
-                digits
-                    .chars()
-                    .take_while(char::is_ascii_digit)
-                    .collect::<String>()
-                    .parse::<usize>()
-                    .unwrap_or(0)
-            };
-            let (since, timeout_ms) = (number_after("since="), number_after("timeout="));
-            let body = self.wait_for_events(since, Duration::from_millis(timeout_ms as u64));
+            let poll = Poll::parse(&text);
+            let body = self.wait_for_events(poll.since, poll.wait);
             text.drain(..end + 4);
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            if stream.write_all(answer.as_bytes()).is_err() {
+            if stream.write_all(polls::answer(&body).as_bytes()).is_err() {
                 return;
             }
         }
--- a/crates/cli/tests/bad_clients/main.rs
+++ b/crates/cli/tests/bad_clients/main.rs
@@ -20,9 +20,10 @@
 use capacity_page::MemoryTable;
 use change_log::ChangeLog;
 use clients::{BadClients, Input, Served, ask_for, connect, new_id, read_answer};
+use common::{host_line, host_lines, setting};
 use fastrand::Rng;
 use host::{EFFECT_TIME, Host};
-use process::{Dispatcher, Limits, NARROW, host_line, host_lines, long_list};
+use process::{Dispatcher, Limits, NARROW, long_list};
 use records::{BEGIN, MAX_CONTENT, PARAMS, RESPONDER, STDIN, UNDEFINED, UNKNOWN_ROLE, record, request_of};
 use replaced::{ConnectionEnds, Order, Replacement, replace_origin};
 use slow_readers::SlowReaders;
@@ -450,11 +451,6 @@
 const FIRST_SEED: (&str, u64) = ("BAD_CLIENTS_SEED", 1);
 const SEEDS: (&str, u64) = ("BAD_CLIENTS_SEEDS", 6);
 
-/// A number from the environment, or its default.
-fn setting((name, default): (&str, u64)) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// Guards against bad clients of kinds that no other test has, beside signals, pauses and kills in series: memory over the
 /// limit, requests lost or late, requests sent on for clients that have left, effects that run twice.
 #[test]
--- a/crates/cli/tests/bad_clients/process.rs
+++ b/crates/cli/tests/bad_clients/process.rs
@@ -1,10 +1,12 @@
 //! The program as a process with limits of its own, and what the system says of it.
 
 use super::change_log::ChangeLog;
-use super::common::{KillOnDrop, TempFile, config};
+use super::common::{
+    KillOnDrop, TempFile, config, host_line, host_lines, list_event, send_signal, wait_until_listening,
+};
 use serde_json::{Value, json};
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -35,21 +37,6 @@
     limits: Limits,
 }
 
-/// A line of the host list.
-pub fn host_line(name: &str, kind: &str, zone: &str, address: SocketAddr, status: &str) -> Value {
-    json!({"name": name, "address": address.to_string(), "zone": zone, "type": kind, "group": 0,
-        "status": status, "weight": 4.0, "since_ms": 0})
-}
-
-/// The lines of one cache, one parent and an origin.
-pub fn host_lines(cache: SocketAddr, sources: SocketAddr) -> Vec<Value> {
-    vec![
-        host_line("c1", "standard", "edge", cache, "active"),
-        host_line("p1", "parent", "hub", sources, "active"),
-        host_line("o1", "origin", "hub", sources, "active"),
-    ]
-}
-
 /// A list of this many hosts, all of them at one address.
 pub fn long_list(address: SocketAddr, count: usize) -> Vec<Value> {
     let mut lines = host_lines(address, address);
@@ -62,8 +49,7 @@
     /// Starts a dispatcher that knows these hosts, and waits until it listens.
     pub fn start(limits: Limits, hosts: &[Value], change_log: &ChangeLog) -> Self {
         let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let known = json!({"seq": 1, "results": [{"seq": 1,
-            "fleet": {"index": 0, "snapshot": true, "endpoints": hosts}}]});
+        let known = list_event(hosts);
         let mut settings = config(address, change_log.address, limits.descriptors, &known);
         settings["limits"]["memory_mb"] = json!(limits.memory_mb);
         add_tokened_class(&mut settings["settings"]);
@@ -74,24 +60,16 @@
         let log = TempFile::new(&format!("bad-clients-{}.log", address.port()), "");
         let child = KillOnDrop(spawn(limits, &file, &log));
         let dispatcher = Self { address, child, config: file, log, limits };
-        dispatcher.wait_until_listening();
+        wait_until_listening(address, START_TIMEOUT);
         dispatcher
     }
 
-    fn wait_until_listening(&self) {
-        let start = Instant::now();
-        while TcpStream::connect(self.address).is_err() {
-            assert!(start.elapsed() < START_TIMEOUT, "the dispatcher does not listen");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
-
     /// Kills the process and starts it again under the same address.
     pub fn restart(&mut self) {
         let _ = self.child.0.kill();
         let _ = self.child.0.wait();
         self.child = KillOnDrop(spawn(self.limits, &self.config, &self.log));
-        self.wait_until_listening();
+        wait_until_listening(self.address, START_TIMEOUT);
     }
 
     /// Asks the process to end, and kills it at the earliest time that the protocol page allows.
@@ -130,7 +108,7 @@
 
     /// Sends the process a signal by its name.
     pub fn signal(&self, name: &str) {
-        signal(&self.child.0, name);
+        send_signal(&self.child.0, name);
     }
 }
 
@@ -153,9 +131,3 @@
     let log = File::options().append(true).open(log.path()).unwrap();
     command.env("RUST_LOG", "info").stdout(Stdio::null()).stderr(log).spawn().unwrap()
 }
-
-/// Sends a process a signal by its name.
-fn signal(process: &Child, name: &str) {
-    let status = Command::new("kill").args([name, &process.id().to_string()]).status();
-    assert!(status.unwrap().success());
-}
--- a/crates/cli/tests/bad_clients/replaced.rs
+++ b/crates/cli/tests/bad_clients/replaced.rs
@@ -2,8 +2,9 @@
 
 use super::change_log::ChangeLog;
 use super::clients::{new_id, try_connect};
+use super::common::host_line;
 use super::host::{EFFECT_TIME, Host};
-use super::process::{Dispatcher, NARROW, host_line};
+use super::process::{Dispatcher, NARROW};
 use super::records::{get, params_with_token, request_of};
 use fastrand::Rng;
 use serde_json::{Value, json};
--- a/crates/cli/tests/bad_clients/soak.rs
+++ b/crates/cli/tests/bad_clients/soak.rs
@@ -2,11 +2,12 @@
 //! the process.
 
 use super::change_log::ChangeLog;
+use super::common::host_lines;
 use super::drawn::{Fault, Plan};
 use super::honest::{HonestClients, Outages, Report};
 use super::host::Host;
 use super::leavers;
-use super::process::{Dispatcher, host_lines};
+use super::process::Dispatcher;
 use fastrand::Rng;
 use std::sync::Arc;
 use std::thread::sleep;
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! some of them.
 #![allow(dead_code)]
 
+pub mod polls;
 pub mod resp;
 
 use serde_json::{Value, json};
@@ -9,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::time::{Duration, Instant};
 
 pub fn program() -> Command {
     Command::new(env!("CARGO_BIN_EXE_myrtlegauge"))
@@ -95,15 +97,44 @@
     assert!(Command::new("kill").args([name, &process.id().to_string()]).status().unwrap().success());
 }
 
+/// Waits until something listens at an address.
+pub fn wait_until_listening(address: SocketAddr, timeout: Duration) {
+    let start = Instant::now();
+    while TcpStream::connect(address).is_err() {
+        assert!(start.elapsed() < timeout, "the dispatcher does not listen");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A number from the environment, or its default.
+pub fn setting((name, default): (&str, u64)) -> u64 {
+    let parse = |text: String| text.parse().unwrap_or_else(|_| panic!("{name}: {text:?} is no number"));
+    std::env::var(name).map_or(default, parse)
+}
+
+/// A line of the host list.
+pub fn host_line(name: &str, kind: &str, zone: &str, address: SocketAddr, status: &str) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": zone, "type": kind, "group": 0,
+        "status": status, "weight": 4.0, "since_ms": 0})
+}
+
+/// The lines of one cache, one parent and an origin.
+pub fn host_lines(cache: SocketAddr, sources: SocketAddr) -> Vec<Value> {
+    vec![
+        host_line("c1", "standard", "edge", cache, "active"),
+        host_line("p1", "parent", "hub", sources, "active"),
+        host_line("o1", "origin", "hub", sources, "active"),
+    ]
+}
+
+/// The first event of a dispatcher, with the full list of these hosts.
+pub fn list_event(hosts: &[Value]) -> Value {
+    json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true, "endpoints": hosts}}]})
+}
+
 /// The initial events of a dispatcher: one cache, one parent and an origin, all at one address.
 pub fn initial_events(host: SocketAddr) -> Value {
-    let entry = |name: &str, kind: &str, zone: &str| {
-        json!({"name": name, "address": host.to_string(), "zone": zone, "type": kind, "group": 0,
-            "status": "active", "weight": 4.0, "since_ms": 0})
-    };
-    let entries =
-        [entry("c1", "standard", "edge"), entry("p1", "parent", "hub"), entry("o1", "origin", "hub")];
-    json!({"seq": 1, "results": [{"seq": 1, "fleet": {"index": 0, "snapshot": true, "endpoints": entries}}]})
+    list_event(&host_lines(host, host))
 }
 
 /// Reads from a connection until the peer ends a response or closes the connection; none if it times out.
--- a/crates/cli/tests/purge_news/change_log.rs
+++ b/crates/cli/tests/purge_news/change_log.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the change log that moves, is down, falls silent or answers late, and records what the pages' times
 //! follow from.
 
+use super::common::polls::{self, Poll};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -53,11 +54,29 @@
 /// The change log at one address.
 pub struct ChangeLog {
     pub address: SocketAddr,
-    state: Arc<State>,
+    state: Arc<Mutex<State>>,
 }
 
+/// How polls are served, and since when.
+#[derive(Clone, Copy)]
 struct State {
-    service: Mutex<(Service, Instant)>,
+    service: Service,
+    since: Instant,
+}
+
+impl State {
+    fn new(service: Service) -> Self {
+        Self { service, since: Instant::now() }
+    }
+
+    /// Whether open connections are to end.
+    fn is_closing(&self) -> bool {
+        match self.service {
+            Service::Refused => true,
+            Service::Retired => self.since.elapsed() >= RETIRED_CLOSE_AFTER,
+            Service::Up | Service::Late(_) | Service::Silent => false,
+        }
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -69,7 +88,7 @@
     pub fn start(history: &Arc<Mutex<History>>, service: Service) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Arc::new(State { service: Mutex::new((service, Instant::now())) });
+        let state = Arc::new(Mutex::new(State::new(service)));
         let (served, history) = (Arc::clone(&state), Arc::clone(history));
         thread::spawn(move || accept(listener, address, &served, &history));
         Self { address, state }
@@ -77,16 +96,14 @@
 
     /// Changes how polls are served from now on.
     pub fn set_service(&self, service: Service) {
-        *lock(&self.state.service) = (service, Instant::now());
+        *lock(&self.state) = State::new(service);
     }
 }
 
 impl History {
-    /// Adds the purge of an object, and returns when it was made.
-    pub fn purge(&mut self, object: u64) -> Instant {
-        let made_at = Instant::now();
-        self.purges.push((object, made_at));
-        made_at
+    /// Adds the purge of an object, made now.
+    pub fn purge(&mut self, object: u64) {
+        self.purges.push((object, Instant::now()));
     }
 
     /// All purges so far: object and time.
@@ -113,10 +130,15 @@
 }
 
 /// Accepts connections while the service does, and listens again once it comes back.
-fn accept(listener: TcpListener, address: SocketAddr, state: &Arc<State>, history: &Arc<Mutex<History>>) {
+fn accept(
+    listener: TcpListener,
+    address: SocketAddr,
+    state: &Arc<Mutex<State>>,
+    history: &Arc<Mutex<History>>,
+) {
     let mut listener = Some(listener);
     loop {
-        let (service, _) = *lock(&state.service);
+        let service = lock(state).service;
         if matches!(service, Service::Refused | Service::Retired) {
             listener = None;
             sleep(LOOK_INTERVAL);
@@ -135,7 +157,7 @@
 }
 
 /// Serves the polls of one connection until either side ends it.
-fn serve(mut stream: TcpStream, state: &Arc<State>, history: &Mutex<History>) {
+fn serve(mut stream: TcpStream, state: &Arc<Mutex<State>>, history: &Mutex<History>) {
     let connection = {
         let mut history = lock(history);
         history.connections += 1;
@@ -143,13 +165,13 @@
     };
     stream.set_nodelay(true).unwrap();
     stream.set_read_timeout(Some(LOOK_INTERVAL)).unwrap();
-    while let Some((since, wait)) = read_poll(&mut stream, state) {
+    while let Some(Poll { since, wait }) = read_poll(&mut stream, state) {
         let polled_at = Instant::now();
         lock(history).log.push(LogEvent::Polled { at: polled_at, wait, connection });
         let Some(lateness) = wait_for_answer(state, history, since, polled_at + wait) else {
             let _ = stream.shutdown(Shutdown::Both);
             let at = Instant::now();
-            let is_replaced = lock(&state.service).0 == Service::Retired;
+            let is_replaced = lock(state).service == Service::Retired;
             let event = if is_replaced {
                 LogEvent::Replaced { at, connection }
             } else {
@@ -160,59 +182,44 @@
         };
         let body = lock(history).answer_since(since);
         sleep(lateness);
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        if stream.write_all(answer.as_bytes()).is_err() {
+        if stream.write_all(polls::answer(&body).as_bytes()).is_err() {
             return;
         }
         lock(history).log.push(LogEvent::Answered { at: Instant::now(), connection });
     }
 }
 
-/// Reads a poll: the last sequence number that the dispatcher has, and the requested wait. `None` once the connection is to end.
-fn read_poll(stream: &mut TcpStream, state: &State) -> Option<(usize, Duration)> {
+/// Reads a poll; `None` once the connection is to end.
+fn read_poll(stream: &mut TcpStream, state: &Mutex<State>) -> Option<Poll> {
     let (mut text, mut buffer) = (String::new(), [0; 4096]);
     while !text.contains("\r\n\r\n") {
         match stream.read(&mut buffer) {
             Ok(0) => return None,
             Ok(count) => text.push_str(&String::from_utf8_lossy(&buffer[..count])),
-            Err(_) if is_closing(state) => return None,
+            Err(_) if lock(state).is_closing() => return None,
             Err(_) => {}
         }
     }
-    let number_after = |name: &str| {
-        let digits = text.split(name).nth(1).unwrap_or_default();
-        let digits: String = digits.chars().take_while(char::is_ascii_digit).collect();
-        digits.parse::<u64>().unwrap_or(0)
-    };
-    Some((number_after("since=") as usize, Duration::from_millis(number_after("timeout="))))
+    Some(Poll::parse(&text))
 }
 
 /// Waits until a poll may be answered, and returns how late its answer leaves; `None` if the connection is to end instead.
 fn wait_for_answer(
-    state: &State,
+    state: &Mutex<State>,
     history: &Mutex<History>,
     since: usize,
     due_at: Instant,
 ) -> Option<Duration> {
     loop {
-        if is_closing(state) {
+        let state = *lock(state);
+        if state.is_closing() {
             return None;
         }
-        let (service, _) = *lock(&state.service);
         let is_due = Instant::now() >= due_at || lock(history).last_seq() > since;
-        match service {
+        match state.service {
             Service::Up if is_due => return Some(Duration::ZERO),
             Service::Late(lateness) if is_due => return Some(lateness),
             _ => sleep(LOOK_INTERVAL),
         }
     }
 }
-
-fn is_closing(state: &State) -> bool {
-    let (service, since) = *lock(&state.service);
-    match service {
-        Service::Refused => true,
-        Service::Retired => since.elapsed() >= RETIRED_CLOSE_AFTER,
-        Service::Up | Service::Late(_) | Service::Silent => false,
-    }
-}
--- a/crates/cli/tests/purge_news/main.rs
+++ b/crates/cli/tests/purge_news/main.rs
@@ -11,8 +11,8 @@
 
 use change_log::{ChangeLog, History, Service};
 use common::{
-    KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal,
-    unused_address,
+    KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal, setting,
+    unused_address, wait_until_listening,
 };
 use host::{Arrival, Host};
 use scenario::{DURATION, File, OBJECTS, Scenario, Step};
@@ -61,11 +61,7 @@
         child.env("ROUTER_CONFIG", file.path()).env("RUST_LOG", "info");
         child.stdout(Stdio::null()).stderr(std::fs::File::create(log.path()).unwrap());
         let process = KillOnDrop(child.spawn().unwrap());
-        let started_at = Instant::now();
-        while TcpStream::connect(listen).is_err() {
-            assert!(started_at.elapsed() < TIMEOUT, "the dispatcher does not listen");
-            sleep(GET_PAUSE);
-        }
+        wait_until_listening(listen, TIMEOUT);
         Self {
             listen,
             host,
@@ -86,7 +82,7 @@
                 self.service = service;
                 self.change_log.set_service(service);
             }
-            Step::Purge(object) => _ = self.history.lock().unwrap().purge(object),
+            Step::Purge(object) => self.history.lock().unwrap().purge(object),
             Step::Stop => send_signal(&self.process.0, "-STOP"),
             Step::Continue => send_signal(&self.process.0, "-CONT"),
         }
@@ -261,12 +257,6 @@
     Outcome { broken, returned, arrivals }
 }
 
-/// A setting of the environment, or its default.
-fn setting((name, default): (&str, u64)) -> u64 {
-    std::env::var(name)
-        .map_or(default, |text| text.parse().unwrap_or_else(|_| panic!("{name}: {text:?} is no number")))
-}
-
 /// The first seed and the number of seeds.
 const FIRST_SEED: (&str, u64) = ("PURGE_NEWS_SEED", 1);
 const SEEDS: (&str, u64) = ("PURGE_NEWS_SEEDS", 10);
