--- a/crates/client/tests/aborts.rs
+++ b/crates/client/tests/aborts.rs
@@ -1,6 +1,9 @@
 //! Calls that end alone beside others on the same connection, over sockets: abandoned ones, and ones whose answer is
 //! malformed.
 
+mod common;
+
+use common::{ms, record};
 use fastrand::Rng;
 use myrtlegauge_client::*;
 use std::io::{ErrorKind, Read, Write};
@@ -24,10 +27,6 @@
 const VIDEO: usize = 0;
 const CONFIRM: usize = 1;
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 /// What a dispatcher does beside answering in two parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Behaviour {
@@ -140,7 +139,7 @@
                 let open_before = self.open.len();
                 self.open.retain(|request| request.number != number);
                 if self.open.len() < open_before && self.behaviour != Behaviour::KeepsAborted {
-                    write_record(out, END, number, &[0; 8]);
+                    out.extend(record(END, number, &[0; 8]));
                 }
             }
             _ => {}
@@ -156,32 +155,26 @@
                 request.has_begun = true;
                 match behaviour {
                     Behaviour::AnswersSomeMalformed if request.is_spoilt => {
-                        write_record(out, STDOUT, number, b"no head");
+                        out.extend(record(STDOUT, number, b"no head"));
                     }
                     Behaviour::AnswersSomeTooLarge if request.is_spoilt => {
                         let content = [b'x'; 60 * 1024];
                         (0..TOO_LARGE / content.len() + 1)
-                            .for_each(|_| write_record(out, STDOUT, number, &content));
+                            .for_each(|_| out.extend(record(STDOUT, number, &content)));
                     }
-                    _ => write_record(out, STDOUT, number, b"Status: 200\r\n\r\n"),
+                    _ => out.extend(record(STDOUT, number, b"Status: 200\r\n\r\n")),
                 }
             }
             let is_over = request.has_begun && now >= request.ends_at;
             if is_over {
-                write_record(out, STDOUT, number, b"bytes");
-                write_record(out, END, number, &[0; 8]);
+                out.extend(record(STDOUT, number, b"bytes"));
+                out.extend(record(END, number, &[0; 8]));
             }
             !is_over
         });
     }
 }
 
-fn write_record(out: &mut Vec<u8>, kind: u8, number: u16, content: &[u8]) {
-    let (number, length) = (number.to_be_bytes(), (content.len() as u16).to_be_bytes());
-    out.extend_from_slice(&[1, kind, number[0], number[1], length[0], length[1], 0, 0]);
-    out.extend_from_slice(content);
-}
-
 fn get(service: usize) -> Get {
     Get {
         service,
--- a/crates/client/tests/sockets.rs
+++ b/crates/client/tests/sockets.rs
@@ -1,5 +1,8 @@
 //! Tests the library over sockets against a scripted dispatcher.
 
+mod common;
+
+use common::{ms, record};
 use myrtlegauge_client::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -7,10 +10,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 /// How the scripted dispatcher handles a connection.
 #[derive(Clone)]
 enum Behaviour {
@@ -39,12 +38,7 @@
     behaviours: Arc<Mutex<Vec<Behaviour>>>,
 }
 
-fn record(kind: u8, number: [u8; 2], content: &[u8]) -> Vec<u8> {
-    let size = (content.len() as u16).to_be_bytes();
-    [&[1, kind, number[0], number[1], size[0], size[1], 0, 0], content].concat()
-}
-
-fn answer(number: [u8; 2], text: &str) -> Vec<u8> {
+fn answer(number: u16, text: &str) -> Vec<u8> {
     [record(6, number, text.as_bytes()), record(3, number, &[0; 8])].concat()
 }
 
@@ -74,7 +68,7 @@
 }
 
 /// Reads a complete request and returns its number.
-fn read_request(stream: &mut TcpStream) -> Option<[u8; 2]> {
+fn read_request(stream: &mut TcpStream) -> Option<u16> {
     loop {
         let mut head = [0; 8];
         stream.read_exact(&mut head).ok()?;
@@ -82,7 +76,7 @@
         let mut content = vec![0; size];
         stream.read_exact(&mut content).ok()?;
         if head[1] == 5 && size == 0 {
-            return Some([head[2], head[3]]);
+            return Some(u16::from_be_bytes([head[2], head[3]]));
         }
     }
 }
@@ -110,7 +104,7 @@
         Behaviour::Flood => {
             let Some(_) = read_request(&mut stream) else { return };
             requests_read.fetch_add(1, Ordering::SeqCst);
-            let records = record(13, [0, 0], b"").repeat(10_000);
+            let records = record(13, 0, b"").repeat(10_000);
             while stream.write_all(&records).is_ok() {}
         }
         Behaviour::RefuseLate => {
@@ -188,7 +182,7 @@
 #[test]
 fn a_connection_closed_at_any_byte_never_makes_an_effect_happen_twice() {
     // The cuts cover the request in steps of 5 bytes and then every byte of the answer.
-    let answer_size = answer([0, 1], OK_RESPONSE).len();
+    let answer_size = answer(1, OK_RESPONSE).len();
     let mut outcome_counts = std::collections::BTreeMap::<String, u32>::new();
     let cuts = (0..300)
         .step_by(5)
