Lab: the sinks of the client crowd are named by what they do

Change: ScheduledActions and RecordedActions, with doc comments in technical English. No behaviour changes.

--- a/crates/lab/src/client/crowd.rs
+++ b/crates/lab/src/client/crowd.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// What one client of the library wants done.
-struct Wants<'a> {
+/// Schedules the actions of one client's core in the simulation.
+struct ScheduledActions<'a> {
     ahead: &'a mut Ahead,
     now: Duration,
     client: usize,
@@ -67,7 +67,7 @@
     connects: Vec<Duration>,
 }
 
-impl ActionSink for Wants<'_> {
+impl ActionSink for ScheduledActions<'_> {
     fn connect(&mut self, link: ConnectionId, _: usize) {
         self.connects.push(self.now);
         self.ahead.put(self.now + WAY * 2, Happens::Arrives(self.client, link));
@@ -81,7 +81,6 @@
     fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
         Some(from)
     }
-
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, end: CallOutcome) {
         self.done.push(end);
@@ -284,10 +283,11 @@
     now: Duration,
     figures: &mut Figures,
     step: usize,
-    said: impl FnOnce(&mut myrtlegauge_client::decide::Round<'_, Wants<'_>>),
+    said: impl FnOnce(&mut myrtlegauge_client::decide::Round<'_, ScheduledActions<'_>>),
 ) {
     let Kind::Library(core, _) = &mut clients[client] else { return };
-    let mut wants = Wants { ahead, now, client, done: Vec::new(), resends: 0, connects: Vec::new() };
+    let mut wants =
+        ScheduledActions { ahead, now, client, done: Vec::new(), resends: 0, connects: Vec::new() };
     core.round(now, &mut wants, said);
     for end in &wants.done {
         match end {
@@ -337,14 +337,14 @@
     None
 }
 
-/// Takes what is to be done and does nothing of it.
+/// Records connections and requests, and carries out no action.
 #[derive(Default)]
-struct Nothing {
+struct RecordedActions {
     sent: Vec<(ConnectionId, u16)>,
     links: Vec<ConnectionId>,
 }
 
-impl ActionSink for Nothing {
+impl ActionSink for RecordedActions {
     fn connect(&mut self, link: ConnectionId, _: usize) {
         self.links.push(link);
     }
@@ -357,7 +357,6 @@
     fn free_number(&self, _: ConnectionId, from: u16) -> Option<u16> {
         Some(from)
     }
-
     fn close(&mut self, _: ConnectionId) {}
     fn finish(&mut self, _: CallId, _: CallOutcome) {}
     fn record_resend(&mut self, _: &Resend) {}
@@ -369,7 +368,7 @@
     let service = vec![Service { name: "video".into(), effect: Effect::Idempotent }];
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     let places = vec![Dispatcher { address, group: 0, sharers: 1 }; 2];
-    let (mut core, mut out) = (Core::new(service.clone(), places.clone(), 1), Nothing::default());
+    let (mut core, mut out) = (Core::new(service.clone(), places.clone(), 1), RecordedActions::default());
     let began = std::time::Instant::now();
     let mut now = Duration::ZERO;
     for _ in 0..CALLS {
