Change log: what polls mean for unreceived purges is recorded by one module for all

Cause: only the dispatcher records the polls of its change log client, and the times of its waits, in PurgeNews; the control service and replicas would need copies.

Change: `poll_records` of the wire package holds the times of waits, pauses and the recording of sent and lost polls. No behaviour changes.

--- a/crates/dispatcher/src/routing/mod.rs
+++ b/crates/dispatcher/src/routing/mod.rs
@@ -300,7 +300,7 @@
         }
         proxy.check_get_balance();
         proxy.log_memory_actions();
-        proxy.begin_wait();
+        proxy.wait_times.begin_wait(proxy.clock.now());
         let longest = &mut proxy.counters.longest_iteration_us;
         *longest = (*longest).max(iteration_start.elapsed().as_micros() as u64);
     }
@@ -324,7 +324,7 @@
             return;
         }
         let now = self.proxy.clock.now();
-        let reloaded = self.proxy.event_time(now, Duration::ZERO);
+        let reloaded = self.proxy.wait_times.event_time(now, Duration::ZERO);
         let terms = self.proxy.purge_news.on_reload(reloaded);
         self.proxy.reload_watch.on_reload(terms, now);
         if let Some(address) = address {
--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -8,17 +8,12 @@
 use super::replicas::{Change, PurgeUncertainty};
 use myrtlegauge::host_life::EndEvidence;
 use myrtlegauge::interface::{End, HostIndex, PurgeKey};
-use myrtlegauge::purge_news::EventTime;
 use myrtlegauge::snapshot;
-use myrtlegauge_wire::change_log_client::{
-    CANNOT_CONNECT, CONNECTION_LOST, LostPoll, SentPollTimes, SequenceCheck,
-};
+use myrtlegauge_wire::change_log_client::{CANNOT_CONNECT, CONNECTION_LOST, SequenceCheck};
+use myrtlegauge_wire::poll_records::{pause_between, record_polls};
 use myrtlegauge_wire::protocol::changelog_answer::AnswerPart;
 use std::time::Duration;
 
-/// The shortest gap between two event loop iterations that counts as a pause of the process. The loop wakes up many
-/// times a second. The value is below any grace on purges.
-const MIN_PAUSE: Duration = Duration::from_millis(750);
 /// Unit of the accepted ages that are sent to hosts.
 const COPY_AGE_RESOLUTION: Duration = Duration::from_millis(1);
 
@@ -51,33 +46,11 @@
             self.counters.polls_failed += 1;
             self.news_watch.on_fault(NewsFault::Silent);
         }
-        self.record_polls();
+        record_polls(&mut self.change_log, &mut self.purge_news, &self.wait_times);
         self.news_watch.on_age(self.purge_news.age(self.now));
         self.reload_watch.follow(self.purge_news.known_until(), self.now);
     }
 
-    /// Records which polls were lost and sent since the last call.
-    fn record_polls(&mut self) {
-        for LostPoll { sent_at, lost_at } in self.change_log.take_lost() {
-            self.purge_news.on_poll_lost(sent_at, self.event_time(lost_at, sent_at));
-        }
-        if let Some(SentPollTimes { sent_at, answer_due_at }) = self.change_log.take_sent() {
-            self.purge_news.on_poll_sent(sent_at, answer_due_at);
-        }
-    }
-
-    /// When something may have happened that was noticed at a time and came after another one. What had happened before
-    /// the last wait but one for events began would have been noticed then: a wait that a signal or a stop of the process
-    /// ends may report nothing.
-    pub fn event_time(&self, noticed_at: Duration, not_before: Duration) -> EventTime {
-        EventTime { earliest: self.previous_wait_began_at.clamp(not_before, noticed_at), latest: noticed_at }
-    }
-
-    /// Records that the process is about to wait for events.
-    pub fn begin_wait(&mut self) {
-        self.previous_wait_began_at = std::mem::replace(&mut self.wait_began_at, self.clock.now());
-    }
-
     /// If the change log is polled, updates up to when purges may be in force that were not received. When that time
     /// advances, forwards that were not sent do not accept older copies any more.
     pub fn update_unknown_purges(&mut self) {
@@ -226,8 +199,8 @@
     /// requests that arrive until the answer.
     pub fn detect_pause(&mut self, last_active: Duration) {
         let now = self.now;
-        if now >= last_active + MIN_PAUSE {
-            let gap_ms = (now - last_active).as_millis() as u64;
+        if let Some(gap) = pause_between(last_active, now) {
+            let gap_ms = gap.as_millis() as u64;
             log::warn!(gap_ms;
                 "process was paused; not accepting older cached copies until the change log has answered");
             if self.replicas.is_none() {
--- a/crates/dispatcher/src/routing/proxy.rs
+++ b/crates/dispatcher/src/routing/proxy.rs
@@ -30,6 +30,7 @@
 use myrtlegauge_wire::change_log_client::ChangeLogClient;
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::host_registry::HostRegistry;
+use myrtlegauge_wire::poll_records::WaitTimes;
 use myrtlegauge_wire::transport::{ClosingConnections, EventLoopHandle, Listener, ResourceUsage};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -84,9 +85,7 @@
     pub clock: Clock,
     /// The time of the current round.
     pub now: Duration,
-    /// When the last wait for events began, and the one before.
-    pub wait_began_at: Duration,
-    pub previous_wait_began_at: Duration,
+    pub wait_times: WaitTimes,
     pub codec: Codec,
     pub host_registry: HostRegistry,
     pub limits: ConnectionLimits,
@@ -207,8 +206,7 @@
             resource_usage,
             counters: Counters::default(),
             now: clock.now(),
-            wait_began_at: clock.now(),
-            previous_wait_began_at: clock.now(),
+            wait_times: WaitTimes::new(clock.now()),
             codec,
             host_registry,
             limits,
