Control service: proxies refuse copies that a purge may forbid which it has not heard

Cause: a poll that was lost or overdue was only counted. Leases say that a proxy hears the service, and nothing said whether the service hears the change log. On the same path: after a pause of its own process, an answer that was thrown away, a gap passed over, a purge dropped for want of room, and a new process whose first answer holds the list and not yet the purges, the service spoke as if it knew all.

Change: the service feeds `PurgeNews` by the same recording as the dispatcher, and publishes which copies are refused, from when, in the clock of the proxies: early enough that a proxy that does not receive it has no lease any more by then, and not before. An answer in time withdraws it, or keeps it from being sent. A proxy names in its node that it obeys; one that does not gets no lease while there is a refusal, but for followers of zones alone. The lease takes half of the grace on purges at most, and polls wait for less where answers are delayed, so that an answer comes before a refusal is published.

Why it works: `PurgeNews` bounds what may be told and unheard, and each proxy has either received the refusal or lost its lease when it comes into force.

--- a/crates/control/src/ads_server.rs
+++ b/crates/control/src/ads_server.rs
@@ -6,7 +6,9 @@
 //! a message is built from the current resources only when there is room to send it. A proxy that reads nothing therefore
 //! costs a bounded set and does not delay other proxies.
 
+use crate::copy_refusals::{COPY_REFUSALS, COPY_REFUSALS_FEATURE, CopyRefusals};
 use crate::lease::Lease;
+use crate::messages::parse_zone_resource_name;
 use crate::resource_cache::{RESOURCE_TYPES, Resource, ResourceCache, ResourceType, Version};
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -189,6 +191,11 @@
         pending_urgent.retain(|name| is_subscribed(name));
     }
 
+    /// Whether it names nothing but verdicts on zones.
+    fn has_only_zones(&self) -> bool {
+        !self.is_wildcard && self.names.iter().all(|name| parse_zone_resource_name(name).is_some())
+    }
+
     fn is_idle(&self) -> bool {
         !self.is_response_due && self.pending.is_empty() && self.pending_urgent.is_empty()
     }
@@ -198,6 +205,10 @@
 struct AdsStream {
     variant: ProtocolVariant,
     node: String,
+    /// The proxy obeys refusals of copies.
+    obeys_copy_refusals: bool,
+    /// No lease is sent: copies are refused, and the proxy does not obey that.
+    is_lease_withheld: bool,
     peer: String,
     opened_at: Duration,
     subscriptions: [Subscription; RESOURCE_TYPES.len()],
@@ -213,6 +224,14 @@
     counters: StreamCounters,
 }
 
+impl AdsStream {
+    /// Whether the proxy may accept copies that are refused. One that follows verdicts on zones alone chooses no copies
+    /// by what is published here.
+    fn disobeys_copy_refusals(&self) -> bool {
+        !self.obeys_copy_refusals && !self.subscriptions[ResourceType::Notice as usize].has_only_zones()
+    }
+}
+
 /// Event counters of one stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StreamCounters {
@@ -256,6 +275,8 @@
     admissions_left: u32,
     /// Whether the host list is known. Nothing is sent before, since a proxy would take it for the complete state.
     is_ready: bool,
+    /// Whether copies are refused, now or soon.
+    are_copies_refused: bool,
 }
 
 impl AdsServer {
@@ -270,6 +291,7 @@
             admission_interval_end: Duration::ZERO,
             admissions_left: ADMISSIONS_PER_INTERVAL,
             is_ready: false,
+            are_copies_refused: false,
         }
     }
 
@@ -283,6 +305,11 @@
         self.is_ready = true;
     }
 
+    /// Whether streams are answered.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
     /// Publishes a resource, or removes it (None). Drains, purges and removed hosts are urgent.
     pub fn put(
         &mut self,
@@ -300,6 +327,12 @@
         }
     }
 
+    /// Publishes which copies proxies must refuse. A proxy that does not obey this gets no lease while there are any.
+    pub fn put_copy_refusals(&mut self, refusals: &CopyRefusals) {
+        self.are_copies_refused = !refusals.is_empty();
+        self.put(ResourceType::Notice, COPY_REFUSALS, Some(refusals.to_resource()), self.are_copies_refused);
+    }
+
     /// Opens a stream, or rejects it if the maximum number is open.
     pub fn open_stream(
         &mut self,
@@ -313,6 +346,8 @@
         let id = self.streams.insert(AdsStream {
             variant,
             node: String::new(),
+            obeys_copy_refusals: false,
+            is_lease_withheld: false,
             peer: peer.to_owned(),
             opened_at: now,
             subscriptions: Default::default(),
@@ -341,6 +376,13 @@
         }
     }
 
+    /// Sets the client features that a proxy named.
+    pub fn set_client_features(&mut self, id: StreamId, features: &[String]) {
+        if let Some(stream) = self.streams.get_mut(id) {
+            stream.obeys_copy_refusals |= features.iter().any(|feature| feature == COPY_REFUSALS_FEATURE);
+        }
+    }
+
     /// Handles a request: its subscription, and its ACK or NACK of a message.
     pub fn on_request(
         &mut self,
@@ -437,8 +479,9 @@
         now: Duration,
         unix_ms: u64,
     ) -> Option<Message> {
-        let Self { cache, streams, lease, is_ready, .. } = self;
+        let Self { cache, streams, lease, is_ready, are_copies_refused, .. } = self;
         let stream = streams.get_mut(id).filter(|_| *is_ready)?;
+        stream.is_lease_withheld = *are_copies_refused && stream.disobeys_copy_refusals();
         let message = match priority {
             Priority::Urgent => next_urgent(stream, cache, *lease, now),
             Priority::Heartbeat => next_heartbeat(stream, cache, *lease, now),
@@ -701,8 +744,11 @@
 /// Whether the proxy has all that a lease covers. For the types before `end`, it must have been sent everything that
 /// existed when it connected and everything urgent since. For all types, nothing urgent may have been rejected or be
 /// unacknowledged for a whole lease. Otherwise a lease could arrive before a drain or purge that it covers. The cost: a
-/// proxy that rejects an urgent resource loses its lease and sheds.
+/// proxy that rejects an urgent resource, or does not obey refusals of copies that there are, loses its lease and sheds.
 fn can_extend_lease(stream: &mut AdsStream, end: usize, lease: Lease, now: Duration) -> bool {
+    if stream.is_lease_withheld {
+        return false;
+    }
     for subscription in &mut stream.subscriptions {
         subscription.is_initial_sync_done |= subscription.is_requested && subscription.is_idle();
     }
@@ -713,7 +759,10 @@
     stream.subscriptions[..end].iter().all(is_up_to_date)
         && stream.subscriptions.iter().enumerate().all(|(resource_type, subscription)| {
             let is_assignment = resource_type == ResourceType::Assignment as usize;
-            let has_nack = subscription.nacked.values().any(|nack| nack.is_urgent || is_assignment);
+            let has_nack = subscription
+                .nacked
+                .iter()
+                .any(|(name, nack)| nack.is_urgent || is_assignment || &**name == COPY_REFUSALS);
             let is_overdue = subscription.unacked.iter().any(|unacked_message| {
                 unacked_message.is_urgent && now >= unacked_message.sent_at + lease.ttl
             });
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -74,6 +74,13 @@
     timeout: Duration,
 }
 
+/// What became of a purge.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PurgeOutcome {
+    /// An older purge that may still bind was dropped for it.
+    pub is_older_dropped: bool,
+}
+
 /// A change that the decision module has not been told of yet.
 enum RouterChange {
     HostList(ListUpdate, Vec<HostEntry>),
@@ -323,21 +330,24 @@
 
     /// Applies a purge. A purge that names nothing or has no valid time is counted as a fault and ignored. The decision
     /// module is told in the next round.
-    pub fn on_purge(&mut self, purge: &Purge<'_>) {
+    pub fn on_purge(&mut self, purge: &Purge<'_>) -> PurgeOutcome {
         let object = purge.object.as_deref().and_then(|id| u64::from_str_radix(id, 16).ok());
         let key = object.map(PurgeKey::Object).or(purge.bucket.map(PurgeKey::Group));
         let Some(key) = key.filter(|_| purge.unix_ms.is_finite() && purge.unix_ms >= 0.0) else {
             self.faults += 1;
-            return log::warn!("purge names no object or group, or has no valid time: ignoring it");
+            log::warn!("purge names no object or group, or has no valid time: ignoring it");
+            return PurgeOutcome::default();
         };
         let at = purge.unix_ms as u64;
         let known = self.purges.entry(key).or_insert(at);
         *known = at.max(*known);
-        if self.purges.len() > MAX_PURGES {
+        let is_older_dropped = self.purges.len() > MAX_PURGES;
+        if is_older_dropped {
             let oldest = self.purges.iter().min_by_key(|(_, at)| **at).map(|(key, _)| *key);
             oldest.map(|key| self.purges.remove(&key));
         }
         self.pending_changes.push(RouterChange::Purge(key));
+        PurgeOutcome { is_older_dropped }
     }
 
     /// Passes the summary of one report interval to the decision module.
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -5,6 +5,7 @@
 //! The received state holds for a lease. Without a lease nothing is forwarded and each GET is shed at once.
 
 use crate::ads_server::ProtocolVariant;
+use crate::copy_refusals::{COPY_REFUSALS, CopyRefusals};
 use crate::fleet::parse_purge_resource_name;
 use crate::messages::{self, BY_HOST_CLUSTER, HostLine, PurgeLine, ROUTE_TABLE, TIERS, TermsLine, Tier};
 use crate::resource_cache::ResourceType;
@@ -68,6 +69,7 @@
     /// Removed hosts, with the incarnation that ended and the time of removal.
     removed_hosts: BTreeMap<String, (u64, u64)>,
     purges: BTreeMap<PurgeKey, PurgeLine>,
+    copy_refusals: CopyRefusals,
     terms: BTreeMap<String, TermsLine>,
     lease_until_ms: u64,
     /// Built from the fields above when they have changed.
@@ -120,6 +122,8 @@
                     }
                 } else if let Some(service) = notice_name.strip_prefix("service/") {
                     self.terms.insert(service.to_owned(), TermsLine::from_fields(&fields)?);
+                } else if notice_name == COPY_REFUSALS {
+                    self.copy_refusals = CopyRefusals::from_fields(&fields)?.received_at(now_ms);
                 }
                 // Other notices are for later versions of the protocol.
                 self.purges.retain(|_, purge| now_ms < purge.until_unix_ms);
@@ -176,6 +180,9 @@
 
     /// Removes a resource. A purge stays in effect until its own end.
     pub fn remove(&mut self, resource_type: ResourceType, name: &str, now_ms: u64) {
+        if resource_type == ResourceType::Notice && name == COPY_REFUSALS {
+            self.copy_refusals = CopyRefusals::default();
+        }
         if resource_type != ResourceType::Host {
             return;
         }
@@ -214,6 +221,11 @@
         self.purges.get(&key).copied()
     }
 
+    /// The copies that are refused because purges may be in force that the control service has not received.
+    pub fn copy_refusals(&self) -> &CopyRefusals {
+        &self.copy_refusals
+    }
+
     /// Rebuilds the routing table if hosts have changed.
     fn rebuild_routing_table(&mut self) {
         if !std::mem::take(&mut self.is_stale) {
@@ -274,7 +286,8 @@
         let purge_keys = [PurgeKey::Object(get.object), PurgeKey::Group(get.group)];
         let purged_at =
             purge_keys.iter().filter_map(|key| self.purges.get(key)).map(|purge| purge.at_unix_ms).max();
-        let purged_at = purged_at.map(Duration::from_millis);
+        let refused_before = self.copy_refusals.copies_before_unix_ms(now_ms);
+        let purged_at = purged_at.max(refused_before).map(Duration::from_millis);
         let max_accepted_age = snapshot::max_accepted_age(
             terms.accepted_age,
             purged_at,
--- a/crates/control/src/grpc.rs
+++ b/crates/control/src/grpc.rs
@@ -49,7 +49,7 @@
     /// The permit is released when the request has been handled.
     Requested {
         stream_id: GrpcStreamId,
-        node: String,
+        proxy: ProxyNode,
         request: Request,
         permit: OwnedSemaphorePermit,
     },
@@ -67,6 +67,22 @@
     },
 }
 
+/// What a proxy says of itself in a request.
+#[derive(Clone, Debug, Default)]
+pub struct ProxyNode {
+    /// Its name; empty in later requests.
+    pub name: String,
+    /// The parts of the protocol that it supports.
+    pub client_features: Vec<String>,
+}
+
+impl From<Option<Node>> for ProxyNode {
+    fn from(node: Option<Node>) -> Self {
+        let Node { id, client_features, .. } = node.unwrap_or_default();
+        Self { name: id, client_features }
+    }
+}
+
 /// Sends the responses of one ADS stream.
 pub enum ResponseSender {
     Whole(mpsc::Sender<Result<DiscoveryResponse, Status>>),
@@ -159,10 +175,6 @@
     }
 }
 
-fn node_name(node: Option<Node>) -> String {
-    node.map(|node| node.id).unwrap_or_default()
-}
-
 impl From<DiscoveryRequest> for Request {
     fn from(request: DiscoveryRequest) -> Self {
         Self {
@@ -224,7 +236,7 @@
         &self,
         stream_id: GrpcStreamId,
         mut inbound: Streaming<T>,
-        read: fn(T) -> (String, Request),
+        read: fn(T) -> (ProxyNode, Request),
     ) where
         T: Send + 'static,
     {
@@ -232,9 +244,9 @@
         tokio::spawn(async move {
             let pending_requests = Arc::new(Semaphore::new(MAX_PENDING_REQUESTS));
             while let Ok(Some(request)) = inbound.message().await {
-                let (node, request) = read(request);
+                let (proxy, request) = read(request);
                 let Ok(permit) = Arc::clone(&pending_requests).acquire_owned().await else { break };
-                if notifier.0.send(ServiceEvent::Requested { stream_id, node, request, permit }).is_err() {
+                if notifier.0.send(ServiceEvent::Requested { stream_id, proxy, request, permit }).is_err() {
                     break;
                 }
             }
@@ -254,7 +266,7 @@
         let (sender, answers) = mpsc::channel(OUTBOX_CAPACITY);
         let stream_id = self.open(request.remote_addr(), ResponseSender::Whole(sender));
         self.forward_requests(stream_id, request.into_inner(), |mut request| {
-            (node_name(request.node.take()), request.into())
+            (request.node.take().into(), request.into())
         });
         Ok(tonic::Response::new(Box::pin(ReceiverStream::new(answers))))
     }
@@ -266,7 +278,7 @@
         let (sender, answers) = mpsc::channel(OUTBOX_CAPACITY);
         let stream_id = self.open(request.remote_addr(), ResponseSender::Delta(sender));
         self.forward_requests(stream_id, request.into_inner(), |mut request| {
-            (node_name(request.node.take()), request.into())
+            (request.node.take().into(), request.into())
         });
         Ok(tonic::Response::new(Box::pin(ReceiverStream::new(answers))))
     }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -8,11 +8,15 @@
 //! so a proxy that has not received it has a lease stamped at `t` or before. Such a proxy stops using the old state at
 //! `t + ttl` by a clock that is at most `clock error` off, and what it sent just before reaches its host
 //! `MAX_SEND_DELAY` later. Hence `ttl + clock error + MAX_SEND_DELAY = the shortest grace`.
+//!
+//! A refusal of copies is published as long before it is in force. It is needed if a poll of the change log is not
+//! answered within the grace of purges, so the lease of a service that polls one takes half of that grace at most, and
+//! leaves the rest to the answer.
 
 use std::time::Duration;
 
 /// From a proxy's check of its lease until the first byte of the GET reaches its host: some wake-ups of a busy machine.
-const MAX_SEND_DELAY: Duration = Duration::from_millis(30);
+pub const MAX_SEND_DELAY: Duration = Duration::from_millis(30);
 /// Heartbeats in a lease. It survives a few late ones, at the cost of as many small messages.
 const HEARTBEATS_PER_LEASE: u32 = 5;
 
@@ -36,4 +40,9 @@
             .max(Duration::from_millis(1));
         Self { ttl, renew_interval: ttl / HEARTBEATS_PER_LEASE }
     }
+
+    /// The same for a service that polls a change log for purges.
+    pub fn with_polled_purges(drain_grace: Duration, purge_grace: Duration, clock_error: Duration) -> Self {
+        Self::from_grace_periods(drain_grace, purge_grace / 2, clock_error)
+    }
 }
--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -1,6 +1,9 @@
 //! Encoding and decoding of the published xDS messages that carry the routing decisions.
 
 use crate::resource_cache::ResourceType;
+use crate::struct_fields::{
+    bool_value, fields, flag_field, number_field, number_value, text_field, text_value,
+};
 use envoy_types::pb::envoy::config::cluster::v3 as cluster;
 use envoy_types::pb::envoy::config::core::v3 as core;
 use envoy_types::pb::envoy::config::endpoint::v3 as endpoint;
@@ -89,45 +92,6 @@
     pub timeout: Duration,
 }
 
-fn number_value(number: f64) -> Value {
-    Value { kind: Some(ProtoValue::NumberValue(number)) }
-}
-
-fn text_value(text: String) -> Value {
-    Value { kind: Some(ProtoValue::StringValue(text)) }
-}
-
-fn bool_value(flag: bool) -> Value {
-    Value { kind: Some(ProtoValue::BoolValue(flag)) }
-}
-
-fn fields<const N: usize>(pairs: [(&str, Value); N]) -> Struct {
-    Struct { fields: pairs.into_iter().map(|(name, value)| (name.to_owned(), value)).collect() }
-}
-
-fn number_field(fields: &Struct, name: &str) -> Option<f64> {
-    match fields.fields.get(name)?.kind.as_ref()? {
-        ProtoValue::NumberValue(number) => {
-            Some(*number).filter(|number| number.is_finite() && *number >= 0.0)
-        }
-        _ => None,
-    }
-}
-
-fn text_field<'a>(fields: &'a Struct, name: &str) -> Option<&'a str> {
-    match fields.fields.get(name)?.kind.as_ref()? {
-        ProtoValue::StringValue(text) => Some(text),
-        _ => None,
-    }
-}
-
-fn flag_field(fields: &Struct, name: &str) -> Option<bool> {
-    match fields.fields.get(name)?.kind.as_ref()? {
-        ProtoValue::BoolValue(flag) => Some(*flag),
-        _ => None,
-    }
-}
-
 /// Encodes a duration.
 pub fn encode_duration(duration: Duration) -> ProtoDuration {
     ProtoDuration { seconds: duration.as_secs() as i64, nanos: duration.subsec_nanos() as i32 }
@@ -230,7 +194,8 @@
     }
 }
 
-fn notice(name: &str, value: Struct) -> Vec<u8> {
+/// Encodes a notice with its name and fields.
+pub(crate) fn notice(name: &str, value: Struct) -> Vec<u8> {
     core::TypedExtensionConfig {
         name: name.to_owned(),
         typed_config: Some(Any { type_url: STRUCT_TYPE_URL.into(), value: value.encode_to_vec() }),
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,6 +6,7 @@
 use crate::grpc::{self, GrpcStreamId, OUTBOX_CAPACITY, ResponseSender, ServiceEvent};
 use crate::lease::Lease;
 use crate::load_reports::{FillCounts, HostReport, LoadReports, sum_fills};
+use crate::news::{News, READ_BUFFER_BYTES};
 use crate::zone_controller::{HostOutcomes, ZoneController};
 use crate::{client_status, messages};
 use calloop::signals::{Signal, Signals};
@@ -14,10 +15,7 @@
 use envoy_types::pb::envoy::service::status::v3::ClientStatusResponse;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_operator::file::ControlSettings;
-use myrtlegauge_wire::change_log_client::{ChangeLogClient, SequenceCheck};
 use myrtlegauge_wire::clock::Clock;
-use myrtlegauge_wire::protocol::StreamError;
-use myrtlegauge_wire::protocol::changelog::{Change, Changes};
 use myrtlegauge_wire::transport::{ReadinessHandler, ResourceUsage};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::TcpListener;
@@ -31,8 +29,6 @@
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 /// Time until the next attempt while a proxy has no capacity for a message.
 const BLOCKED_RETRY: Duration = Duration::from_millis(2);
-/// Size of the read buffer for change log polls.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Messages of one priority to one stream in one loop iteration, so that a stream with many pending messages does not
 /// delay others.
 const MAX_MESSAGES_PER_ITERATION: usize = 4;
@@ -68,6 +64,8 @@
     pub failed_polls: u64,
     /// Restarts of the change log.
     pub log_restarts: u64,
+    /// Changes of the copies that proxies refuse.
+    pub copy_refusals: u64,
     /// Messages sent, by priority.
     pub sent_messages: [u64; PRIORITIES.len()],
     /// Iterations of the event loop.
@@ -79,25 +77,23 @@
 /// The state of a control service.
 pub struct Service {
     name: String,
-    fleet: Fleet,
-    server: AdsServer,
+    pub(crate) fleet: Fleet,
+    pub(crate) server: AdsServer,
     reports: LoadReports,
     zones: Option<ZoneController>,
-    change_log: Option<ChangeLogClient<Service>>,
-    is_change_log_ready: bool,
-    /// Sequence number and content hash of the last accepted change log event.
-    last_event: (u64, u64),
-    loop_handle: LoopHandle<'static, Self>,
-    resource_usage: Rc<ResourceUsage>,
-    read_buffer: Vec<u8>,
+    /// None: the hosts are those of the operator file.
+    pub(crate) news: Option<News>,
+    pub(crate) loop_handle: LoopHandle<'static, Self>,
+    pub(crate) resource_usage: Rc<ResourceUsage>,
+    pub(crate) read_buffer: Vec<u8>,
     events: Vec<ServiceEvent>,
     pending_statuses:
         VecDeque<(oneshot::Sender<Result<ClientStatusResponse, String>>, client_status::StatusBuilder)>,
     proxies: BTreeMap<GrpcStreamId, ConnectedProxy>,
-    now: Duration,
+    pub(crate) now: Duration,
     next_publish: Duration,
     is_blocked: bool,
-    must_publish: bool,
+    pub(crate) must_publish: bool,
     next_warning_at: Duration,
     suppressed_warnings: u64,
     /// The counters since the start.
@@ -109,7 +105,9 @@
     type Key = ChangeLog;
 
     fn on_socket_ready(&mut self, _: ChangeLog) {
-        self.is_change_log_ready = true;
+        if let Some(news) = &mut self.news {
+            news.is_socket_ready = true;
+        }
     }
 }
 
@@ -146,6 +144,7 @@
     grpc::serve(listener, event_sender, control.report_interval)?;
     log::info!(address:%; "{} serves routing decisions", service.name);
     while !service.is_stopping {
+        service.begin_wait();
         event_loop
             .dispatch(service.poll_timeout(), &mut service)
             .map_err(|e| format!("the event loop failed: {e}"))?;
@@ -163,18 +162,18 @@
     ) -> Result<Self, String> {
         let clock = Clock::start();
         let now = clock.now();
-        let lease = Lease::from_grace_periods(control.drain_grace, control.purge_grace, control.clock_error);
+        let derive_lease =
+            if control.change_log.is_some() { Lease::with_polled_purges } else { Lease::from_grace_periods };
+        let lease = derive_lease(control.drain_grace, control.purge_grace, control.clock_error);
+        let news = control.change_log.map(|address| News::new(address, lease, file, control, now));
+        let news = news.transpose()?;
         let mut service = Self {
             name: control.name.clone(),
             fleet: Fleet::new(&file.decision_settings, fastrand::u64(..), clock)?,
             server: AdsServer::new(lease, control.max_proxies),
             reports: LoadReports::new(control.report_interval, now),
             zones: ZoneController::from_file(file, control.report_interval, now),
-            change_log: control
-                .change_log
-                .map(|address| ChangeLogClient::new(address, ChangeLog).with_overlap()),
-            is_change_log_ready: false,
-            last_event: (0, 0),
+            news,
             loop_handle,
             resource_usage: Rc::new(ResourceUsage::default()),
             read_buffer: vec![0; READ_BUFFER_BYTES],
@@ -190,7 +189,7 @@
             counters: Counters::default(),
             is_stopping: false,
         };
-        if service.change_log.is_none() {
+        if service.news.is_none() {
             service.fleet.load_file_hosts(&file.hosts, now);
             service.server.set_ready();
         }
@@ -208,7 +207,7 @@
         });
         match file {
             Err(error) => log::error!("operator file not reloaded, keeping the previous hosts: {error}"),
-            Ok(_) if self.change_log.is_some() => {
+            Ok(_) if self.news.is_some() => {
                 log::info!("operator file reloaded: hosts come from the change log, nothing changes")
             }
             Ok(file) => {
@@ -220,10 +219,17 @@
         }
     }
 
+    /// Records that the event loop is about to wait for events.
+    fn begin_wait(&mut self) {
+        let now = self.fleet.clock().now();
+        if let Some(news) = &mut self.news {
+            news.wait_times.begin_wait(now);
+        }
+    }
+
     /// How long the event loop may wait for events.
     fn poll_timeout(&self) -> Duration {
-        let change_log_deadline =
-            self.change_log.as_ref().map_or(Duration::MAX, |change_log| change_log.deadline);
+        let change_log_deadline = self.news.as_ref().map_or(Duration::MAX, News::deadline);
         let mut deadline = self
             .next_publish
             .min(self.server.next_deadline(self.now))
@@ -232,15 +238,16 @@
         if self.is_blocked {
             deadline = deadline.min(self.now + BLOCKED_RETRY);
         }
-        let is_idle = self.events.is_empty() && !self.is_change_log_ready && self.pending_statuses.is_empty();
+        let is_change_log_ready = self.news.as_ref().is_some_and(|news| news.is_socket_ready);
+        let is_idle = self.events.is_empty() && !is_change_log_ready && self.pending_statuses.is_empty();
         if is_idle { deadline.saturating_sub(self.fleet.clock().now()) } else { Duration::ZERO }
     }
 
     /// Handles everything received since the last loop iteration and sends everything that may be sent.
     fn process_events(&mut self) {
-        self.now = self.fleet.clock().now();
+        let last_active = std::mem::replace(&mut self.now, self.fleet.clock().now());
         let started = self.now;
-        self.poll_change_log();
+        self.follow_change_log(last_active, unix_ms());
         for event in std::mem::take(&mut self.events) {
             self.on_event(event);
         }
@@ -283,90 +290,6 @@
         self.fleet.withhold(&key_fractions, self.now);
     }
 
-    /// Polls the change log and handles its answers.
-    fn poll_change_log(&mut self) {
-        let Some(mut change_log) = self.change_log.take() else { return };
-        self.counters.failed_polls +=
-            u64::from(change_log.poll_if_due(&self.loop_handle, &self.resource_usage, self.now));
-        let mut has_more = std::mem::take(&mut self.is_change_log_ready);
-        while has_more {
-            has_more = change_log.on_ready(&mut self.read_buffer, self.now);
-            loop {
-                match change_log.next_answer(self.now) {
-                    Ok(Some(body)) => self.on_change_log_answer(&mut change_log, &body),
-                    Ok(None) => break,
-                    Err(StreamError(error)) => {
-                        self.counters.failed_polls += 1;
-                        self.warn(error);
-                        change_log.disconnect(self.now);
-                        break;
-                    }
-                }
-            }
-        }
-        self.counters.failed_polls +=
-            u64::from(change_log.poll_if_due(&self.loop_handle, &self.resource_usage, self.now));
-        self.change_log = Some(change_log);
-    }
-
-    fn on_change_log_answer(&mut self, change_log: &mut ChangeLogClient<Self>, body: &[u8]) {
-        let changes: Changes<'_> = match serde_json::from_slice(body) {
-            Ok(changes) => changes,
-            Err(e) => {
-                self.counters.failed_polls += 1;
-                self.warn(&format!("cannot decode an answer of the change log, reconnecting: {e}"));
-                return change_log.disconnect(self.now);
-            }
-        };
-        // Sequence numbers decreased, or the last accepted event has different content now: the change log restarted.
-        let content_hash =
-            |change: &Change<'_>| twox_hash::XxHash64::oneshot(0, format!("{change:?}").as_bytes());
-        let is_different = |change: &Change<'_>| {
-            change.seq == self.last_event.0 && content_hash(change) != self.last_event.1
-        };
-        if changes.last_seq < change_log.last_seq || changes.results.iter().any(is_different) {
-            self.counters.log_restarts += 1;
-            change_log.resync_from_start(self.now);
-            self.last_event = (0, 0);
-            return log::warn!(last = changes.last_seq; "change log restarted, requesting all events again");
-        }
-        let previous_seq = change_log.last_seq;
-        for change in &changes.results {
-            match change_log.accept(change.seq, self.now) {
-                SequenceCheck::Duplicate => continue,
-                SequenceCheck::GapRetried(last) => {
-                    return self.warn(&format!(
-                        "sequence gap in the change log, from {last} to {}; requesting the events after {last} again",
-                        change.seq
-                    ));
-                }
-                SequenceCheck::GapAccepted(last) => {
-                    self.warn(&format!(
-                        "sequence gap in the change log, from {last} to {}; continuing without the missing events",
-                        change.seq
-                    ));
-                }
-                SequenceCheck::Next => {}
-            }
-            self.counters.events += 1;
-            self.must_publish = true;
-            self.last_event = (change.seq, content_hash(change));
-            if let Some(fleet) = &change.fleet {
-                self.fleet.on_host_list(&fleet.endpoints, fleet.snapshot, self.now);
-                // Nothing is sent before the first full list, since proxies would take it for the complete state.
-                if fleet.snapshot {
-                    self.server.set_ready();
-                }
-            }
-            if let Some(purge) = &change.invalidate {
-                self.fleet.on_purge(purge);
-            }
-        }
-        if change_log.last_seq == previous_seq {
-            change_log.on_empty_answer(self.now);
-        }
-    }
-
     fn on_event(&mut self, event: ServiceEvent) {
         match event {
             ServiceEvent::Opened { stream_id, peer, sender } => {
@@ -383,13 +306,13 @@
                     }
                 }
             }
-            ServiceEvent::Requested { stream_id, node, request, permit } => {
-                let Some(proxy) = self.proxies.get(&stream_id) else { return };
+            ServiceEvent::Requested { stream_id, proxy, request, permit } => {
+                let Some(&ConnectedProxy { stream, .. }) = self.proxies.get(&stream_id) else { return };
                 self.counters.requests += 1;
-                let stream = proxy.stream;
-                if !node.is_empty() {
-                    self.server.set_node(stream, &node);
+                if !proxy.name.is_empty() {
+                    self.server.set_node(stream, &proxy.name);
                 }
+                self.server.set_client_features(stream, &proxy.client_features);
                 if let Some(error) = &request.error_detail {
                     self.warn(&format!(
                         "proxy rejected a message of type {}, keeping the stream open: {error}",
@@ -536,7 +459,7 @@
     }
 
     /// Logs at most one warning per interval, with the number of suppressed warnings.
-    fn warn(&mut self, message: &str) {
+    pub(crate) fn warn(&mut self, message: &str) {
         if self.now < self.next_warning_at {
             self.suppressed_warnings += 1;
             return;
@@ -548,11 +471,14 @@
     fn log_counters(&self) {
         let Counters { opened, closed, rejected, requests, events, failed_polls, log_restarts, .. } =
             self.counters;
+        let news_age = self.news.as_ref().map_or(Duration::ZERO, |news| news.age(self.now));
+        let news_age_ms = news_age.as_millis() as u64;
+        let Counters { copy_refusals, .. } = self.counters;
         let Counters { sent_messages: [urgent, heartbeats, ordinary], turns, longest_turn_us, .. } =
             self.counters;
         log::info!(opened, closed, turned_away = rejected, open = self.proxies.len(), requests; "streams");
         log::info!(urgent, beats = heartbeats, ordinary; "messages");
-        log::info!(events, polls_lost = failed_polls, logs_anew = log_restarts, hosts = self.fleet.len(), faults = self.fleet.faults; "change log");
+        log::info!(events, polls_lost = failed_polls, logs_anew = log_restarts, hosts = self.fleet.len(), faults = self.fleet.faults, copy_refusals, news_age_ms; "change log");
         log::info!(taken = self.reports.accepted, disbelieved = self.reports.rejected; "reports");
         log::info!(turns, turn_longest_us = longest_turn_us; "loop");
     }
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -1,6 +1,7 @@
 //! The client side of an ADS stream: decodes responses, applies them to a follower and builds the requests.
 
 use crate::ads_server::ProtocolVariant;
+use crate::copy_refusals::COPY_REFUSALS_FEATURE;
 use crate::follower::{Follower, nonce_unix_ms, subscriptions};
 use crate::resource_cache::ResourceType;
 use envoy_types::pb::envoy::config::core::v3::Node;
@@ -104,7 +105,11 @@
     }
 
     fn node(&self) -> Option<Node> {
-        Some(Node { id: self.node.clone(), ..Default::default() })
+        Some(Node {
+            id: self.node.clone(),
+            client_features: vec![COPY_REFUSALS_FEATURE.to_owned()],
+            ..Default::default()
+        })
     }
 
     /// The first requests of a new state-of-the-world stream.
@@ -145,6 +150,7 @@
             return Err(format!("unknown resource type {}", response.type_url));
         };
         let mut outcome = Ok(());
+        let refused_copies = !self.follower.copy_refusals().is_empty();
         for resource in &response.resources {
             if let Some(body) = &resource.body {
                 match self.follower.apply(resource_type, &resource.name, body, now_ms) {
@@ -160,6 +166,7 @@
             self.follower.remove(resource_type, name, now_ms);
             self.held_versions.remove(&(resource_type, name.clone()));
         }
+        self.log_copy_refusals(refused_copies, now_ms);
         if outcome.is_ok() {
             self.accepted_versions.insert(resource_type, response.version.clone());
             // A lease covers what was applied. A lease in a rejected response is ignored.
@@ -171,6 +178,19 @@
         outcome
     }
 
+    /// Tells the operator of the proxy when copies will be refused, and when this ends or is called off.
+    fn log_copy_refusals(&self, refused_copies: bool, now_ms: u64) {
+        let refusals = self.follower.copy_refusals();
+        match (refused_copies, refusals.starts_at_unix_ms()) {
+            (false, Some(starts_at_ms)) => {
+                let refused_in_ms = starts_at_ms.saturating_sub(now_ms);
+                log::warn!(refused_in_ms; "older copies will be refused: the control service does not hear the change log");
+            }
+            (true, None) => log::info!("no copies are refused any more"),
+            _ => {}
+        }
+    }
+
     /// The ACK, or with an error the NACK, of a state-of-the-world response.
     pub fn acknowledge_whole(&self, response: &Response, error: Option<String>) -> DiscoveryRequest {
         let names = subscriptions(ProtocolVariant::Whole)
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -4,9 +4,11 @@
 use myrtlegauge_control::ads_server::{
     AdsServer, Message, PRIORITIES, Priority, ProtocolVariant, Request, StreamId,
 };
+use myrtlegauge_control::copy_refusals::COPY_REFUSALS_FEATURE;
 use myrtlegauge_control::fleet::Fleet;
 use myrtlegauge_control::follower::{Follower, GetKey, nonce_unix_ms, subscriptions};
 use myrtlegauge_control::lease::Lease;
+use myrtlegauge_control::messages::{BY_HOST_CLUSTER, zone_resource_name};
 use myrtlegauge_control::resource_cache::ResourceType;
 use myrtlegauge_wire::clock::Clock;
 use myrtlegauge_wire::protocol::changelog::{Endpoint, Purge};
@@ -109,6 +111,10 @@
 /// A proxy on one stream.
 pub struct Proxy {
     pub variant: ProtocolVariant,
+    /// The parts of the protocol that it supports.
+    pub client_features: Vec<String>,
+    /// The names that it subscribes to.
+    pub subscriptions: Vec<(ResourceType, Vec<String>)>,
     pub stream: StreamId,
     pub follower: Follower,
     /// Sent on a new delta stream: the names and versions that it holds.
@@ -122,8 +128,40 @@
 
 impl Proxy {
     pub fn connect(control: &mut TestControlPlane, variant: ProtocolVariant) -> Self {
+        Self::connect_with_features(control, variant, &[COPY_REFUSALS_FEATURE])
+    }
+
+    /// A dispatcher that follows the verdicts on a zone alone.
+    pub fn connect_to_zones(control: &mut TestControlPlane, zone: &str) -> Self {
+        let names = [
+            (ResourceType::Notice, vec![zone_resource_name(zone)]),
+            (ResourceType::Assignment, vec![BY_HOST_CLUSTER.to_owned()]),
+        ];
+        Self::open_new(control, ProtocolVariant::Delta, &[], names.into())
+    }
+
+    /// A proxy of a version that supports these parts of the protocol.
+    pub fn connect_with_features(
+        control: &mut TestControlPlane,
+        variant: ProtocolVariant,
+        features: &[&str],
+    ) -> Self {
+        let owned = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect();
+        let names =
+            subscriptions(variant).into_iter().map(|(resource_type, names)| (resource_type, owned(names)));
+        Self::open_new(control, variant, features, names.collect())
+    }
+
+    fn open_new(
+        control: &mut TestControlPlane,
+        variant: ProtocolVariant,
+        features: &[&str],
+        subscriptions: Vec<(ResourceType, Vec<String>)>,
+    ) -> Self {
         let mut proxy = Self {
             variant,
+            client_features: features.iter().map(|&feature| feature.to_owned()).collect(),
+            subscriptions,
             stream: 0,
             follower: Follower::default(),
             held_versions: Default::default(),
@@ -138,9 +176,10 @@
     pub fn open(&mut self, control: &mut TestControlPlane) {
         self.stream = control.server.open_stream(self.variant, "test", control.now).unwrap();
         control.server.advance(control.now);
-        for (resource_type, names) in subscriptions(self.variant) {
+        control.server.set_client_features(self.stream, &self.client_features);
+        for (resource_type, names) in self.subscriptions.clone() {
             let mut request = Request { type_url: resource_type.type_url().into(), ..Request::default() };
-            request.resource_names = names.iter().map(|name| (*name).to_owned()).collect();
+            request.resource_names = names;
             match self.variant {
                 ProtocolVariant::Whole => {
                     request.accepted_version =
--- a/crates/wire/src/change_log_client.rs
+++ b/crates/wire/src/change_log_client.rs
@@ -34,6 +34,9 @@
 /// below any grace for drains.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Each answer lowers the remembered delay of answers by this part, unless it was delayed as much.
+const DELAY_DECAY: u32 = 8;
+
 /// Limit of the bytes read from the change log in one iteration of the event loop.
 const MAX_READ_BYTES: usize = 256 * 1024;
 
@@ -60,6 +63,12 @@
     /// A poll is outstanding.
     is_pending: bool,
     polled_at: Duration,
+    /// The wait that the last poll requested.
+    requested_wait: Duration,
+    /// How much longer than requested an answer takes to come.
+    answer_delay: Duration,
+    /// The time after a poll within which its answer is wanted, if it is limited.
+    answer_within: Option<Duration>,
     /// The poll sent and the polls lost since these were last taken.
     newly_sent: Option<SentPollTimes>,
     newly_lost: Vec<LostPoll>,
@@ -121,6 +130,9 @@
             answer_timeout: MIN_ANSWER_TIMEOUT,
             is_pending: false,
             polled_at: Duration::ZERO,
+            requested_wait: Duration::ZERO,
+            answer_delay: Duration::ZERO,
+            answer_within: None,
             newly_sent: None,
             newly_lost: Vec::new(),
             deadline: Duration::ZERO,
@@ -140,6 +152,12 @@
         self
     }
 
+    /// Requests a shorter wait where answers are delayed, so that they come within this time after the poll.
+    pub fn with_answer_within(mut self, answer_within: Duration) -> Self {
+        self.answer_within = Some(answer_within);
+        self
+    }
+
     /// Switches to another address and polls it immediately. The sequence numbers continue.
     pub fn set_address(&mut self, address: SocketAddr, now: Duration) {
         (self.address, self.host) = (address, address.to_string());
@@ -195,10 +213,14 @@
         if now < self.deadline || self.is_pending {
             return is_overdue;
         }
+        let longest_wait = self.longest_wait();
         let Some(connection) = &mut self.connection else {
             return self.start_connect(event_loop, resource_usage, now) || is_overdue;
         };
-        let wait = next_wait(std::mem::take(&mut self.polls_immediately), self.poll_wanted_at, now);
+        let is_immediate = std::mem::take(&mut self.polls_immediately);
+        let longest = if is_immediate { IMMEDIATE_POLL_WAIT } else { longest_wait };
+        let wait = next_wait(longest, self.poll_wanted_at, now);
+        self.requested_wait = wait;
         let since =
             self.last_seq.saturating_sub(u64::from(std::mem::take(&mut self.is_new) && self.has_overlap));
         let connection = &mut connection.connection;
@@ -213,6 +235,12 @@
         is_overdue
     }
 
+    /// The longest wait after which an answer comes in time.
+    fn longest_wait(&self) -> Duration {
+        let in_time = self.answer_within.map(|within| within.saturating_sub(self.answer_delay));
+        in_time.unwrap_or(LONG_POLL_WAIT).clamp(IMMEDIATE_POLL_WAIT, LONG_POLL_WAIT)
+    }
+
     /// The last poll that was sent since the last call.
     pub fn take_sent(&mut self) -> Option<SentPollTimes> {
         self.newly_sent.take()
@@ -385,6 +413,8 @@
     /// overdue later, and less so with each that was not.
     fn on_answered(&mut self, now: Duration) {
         self.overdue_polls.clear();
+        let delay = now.saturating_sub(self.polled_at + self.requested_wait);
+        self.answer_delay = delay.max(self.answer_delay - self.answer_delay / DELAY_DECAY);
         let lateness = now.saturating_sub(self.polled_at + LONG_POLL_WAIT);
         self.answer_timeout =
             (self.answer_timeout / 2).max(lateness * 2).clamp(MIN_ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT);
@@ -397,8 +427,7 @@
 }
 
 /// How long the change log may hold back the answer to a poll that is sent now.
-fn next_wait(is_immediate: bool, poll_wanted_at: Option<Duration>, now: Duration) -> Duration {
-    let longest = if is_immediate { IMMEDIATE_POLL_WAIT } else { LONG_POLL_WAIT };
+fn next_wait(longest: Duration, poll_wanted_at: Option<Duration>, now: Duration) -> Duration {
     // The wait is sent in whole milliseconds; rounded up, it ends after the time and not just before it.
     let until_wanted = poll_wanted_at.map(|at| at.saturating_sub(now) + IMMEDIATE_POLL_WAIT);
     until_wanted.unwrap_or(longest).min(longest)
--- a/crates/wire/tests/change_log_client.rs
+++ b/crates/wire/tests/change_log_client.rs
@@ -159,3 +159,25 @@
     assert_eq!(lost.sent_at, sent_at);
     assert!(lost.lost_at > sent_at + WAIT + SLACK, "{lost:?}");
 }
+
+/// Guards against a change log far away, each poll of which counts as unanswered for a while although it is sound: the wait is
+/// shortened by the delay of its answers.
+#[test]
+fn answers_of_a_distant_change_log_come_within_the_wanted_time() {
+    const ANSWER_WITHIN: Duration = Duration::from_millis(650);
+    const MARGIN: Duration = Duration::from_millis(60);
+    for delay_ms in [0, 200, 500] {
+        let delay = Duration::from_millis(delay_ms);
+        let mut client = TestClient::new(start_change_log(move || delay));
+        client.client = client.client.with_answer_within(ANSWER_WITHIN);
+        assert!(client.poll_for(delay + SLACK));
+        let started_at = client.started_at.elapsed();
+        for _ in 0..4 {
+            assert!(client.poll_for(ANSWER_WITHIN + SLACK));
+            let answered_after = client.started_at.elapsed() - client.client.polled_at();
+            assert!(answered_after <= ANSWER_WITHIN + MARGIN, "{answered_after:?} with a delay of {delay:?}");
+        }
+        let four_answers_took = client.started_at.elapsed() - started_at;
+        assert!(four_answers_took >= 4 * (WAIT - MARGIN), "{four_answers_took:?} with a delay of {delay:?}");
+    }
+}
--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -56,6 +56,10 @@
     Reload,
     /// The process did not run until then.
     Pause,
+    /// An answer that came at that time was not applied.
+    AnswerRejected,
+    /// Events of the change log are missing for good.
+    EventsMissed,
 }
 
 /// When something happened that the process may have noticed late, since it did not run all the time.
@@ -75,6 +79,32 @@
     pub heard_by_poll_at: Duration,
 }
 
+/// Copies that are refused from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyRefusal {
+    /// Copies from before this time are refused.
+    pub copies_before: Duration,
+    pub in_force_from: Duration,
+}
+
+/// Copies older than an age, which are refused from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgeRefusal {
+    pub max_age: Duration,
+    pub in_force_from: Duration,
+}
+
+/// Which copies are refused now, and which will be unless the change log is heard before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RefusalForecast {
+    /// The refusal that is in force now.
+    pub current: Option<CopyRefusal>,
+    /// All later refusals in one: it is in force as early as the first and refuses as much as the strictest.
+    pub upcoming: Option<CopyRefusal>,
+    /// Set if caches keep copies for long enough.
+    pub by_age: Option<AgeRefusal>,
+}
+
 /// Which purges are known, from the polls of the change log and their answers.
 #[derive(Clone, Debug)]
 pub struct PurgeNews {
@@ -92,10 +122,16 @@
 impl PurgeNews {
     /// Creates the state of a router that was started at `now` with all purges until then.
     pub fn new(settings: &Settings, now: Duration) -> Self {
+        let grace = settings::duration(settings, "domain.obey_after_ms").unwrap_or_default();
+        Self::with_grace(grace, settings, now)
+    }
+
+    /// Creates the same state with a grace that the settings do not tell.
+    pub fn with_grace(grace: Duration, settings: &Settings, now: Duration) -> Self {
+        let max_copy_lifetime = settings::duration(settings, "domain.gone_everywhere_ms");
         Self {
-            grace: settings::duration(settings, "domain.obey_after_ms").unwrap_or_default(),
-            max_copy_lifetime: settings::duration(settings, "domain.gone_everywhere_ms")
-                .unwrap_or(Duration::MAX),
+            grace,
+            max_copy_lifetime: max_copy_lifetime.unwrap_or(Duration::MAX),
             known_until: now,
             resumed_at: Duration::ZERO,
             unknown: Vec::new(),
@@ -134,7 +170,11 @@
             match unknown.cause {
                 Cause::PollUnanswered => is_of_poll && is_not_in_force,
                 Cause::AnswerOverdue => is_of_poll && is_not_in_force && unknown.until > lost.earliest,
-                Cause::PollLost | Cause::Reload | Cause::Pause => false,
+                Cause::PollLost
+                | Cause::Reload
+                | Cause::Pause
+                | Cause::AnswerRejected
+                | Cause::EventsMissed => false,
             }
         };
         self.unknown.retain(|unknown| !is_replaced(unknown));
@@ -147,6 +187,30 @@
         });
     }
 
+    /// The answer to a poll came and was not applied: what it told counts as known.
+    pub fn on_answer_rejected(&mut self, sent_at: Duration, received_at: Duration) {
+        self.unknown.push(UnknownPurges {
+            until: received_at,
+            in_force_from: sent_at + self.grace + SOCKET_SLACK,
+            told_by_poll_at: received_at,
+            cause: Cause::AnswerRejected,
+        });
+    }
+
+    /// Purges are missing from the answer to a poll, and no other will tell them. What earlier polls should have told
+    /// may be among them.
+    pub fn on_events_missed(&mut self, sent_at: Duration, received_at: Duration) {
+        let earlier = self.unknown.iter().filter(|unknown| unknown.told_by_poll_at <= sent_at);
+        let earlier_in_force_from = earlier.map(|unknown| unknown.in_force_from).min();
+        let in_force_from = sent_at + self.grace + SOCKET_SLACK;
+        self.unknown.push(UnknownPurges {
+            until: received_at,
+            in_force_from: earlier_in_force_from.map_or(in_force_from, |earlier| earlier.min(in_force_from)),
+            told_by_poll_at: Duration::MAX,
+            cause: Cause::EventsMissed,
+        });
+    }
+
     /// The configuration was reloaded, whatever it names. The change log may have moved, and what it has a while later
     /// counts as known then.
     pub fn on_reload(&mut self, reloaded: EventTime) -> ReloadTerms {
@@ -200,6 +264,32 @@
         now.saturating_sub(self.known_until)
     }
 
+    /// The refusals that are in force now or will be by a time, unless the change log is heard before.
+    pub fn forecast(&self, now: Duration, by: Duration) -> RefusalForecast {
+        let refusals = self.unknown.iter().filter(|unknown| unknown.in_force_from <= by);
+        let lasting = refusals.filter(|unknown| now < self.gone_everywhere_at(unknown.until));
+        let (current, upcoming): (Vec<&UnknownPurges>, Vec<_>) =
+            lasting.partition(|unknown| unknown.is_in_force(now));
+        RefusalForecast {
+            current: merged_refusal(&current),
+            upcoming: merged_refusal(&upcoming),
+            by_age: self.refusal_by_age().filter(|refusal| refusal.in_force_from <= by),
+        }
+    }
+
+    /// The refusal of copies that a purge may forbid which counts as known after `MAX_TIME_TO_KNOWN`. `None` if no cache
+    /// keeps a copy for so long.
+    fn refusal_by_age(&self) -> Option<AgeRefusal> {
+        let max_age = MAX_TIME_TO_KNOWN + self.grace;
+        let in_force_from = self.known_until + max_age;
+        (self.max_copy_lifetime > max_age).then_some(AgeRefusal { max_age, in_force_from })
+    }
+
+    /// From this time on, no cache holds a copy that a purge forbids which was made by a time.
+    fn gone_everywhere_at(&self, purged_until: Duration) -> Duration {
+        purged_until.saturating_add(self.max_copy_lifetime)
+    }
+
     /// The time up to which purges may be in force that were not received; `None` if there is none that a cached copy
     /// could contradict.
     pub fn in_force_until(&mut self, now: Duration) -> Option<Duration> {
@@ -208,10 +298,21 @@
         if let Some(newest) = newest {
             self.unknown.retain(|unknown| *unknown == newest || !newest.covers(unknown));
         }
+        let max_copy_lifetime = self.max_copy_lifetime;
+        let is_over = |until: Duration| now >= until.saturating_add(max_copy_lifetime);
+        self.unknown.retain(|unknown| unknown.cause != Cause::EventsMissed || !is_over(unknown.until));
         let polled_until = newest.map(|unknown| unknown.until);
         let unpolled_until =
             now.checked_sub(MAX_TIME_TO_KNOWN + self.grace).filter(|&until| until > self.known_until);
         let until = polled_until.max(unpolled_until)?;
-        (now < until.saturating_add(self.max_copy_lifetime)).then_some(until)
+        (now < self.gone_everywhere_at(until)).then_some(until)
     }
 }
+
+/// The refusal that is in force as early as the first of some, and refuses as much as the strictest.
+fn merged_refusal(unknown: &[&UnknownPurges]) -> Option<CopyRefusal> {
+    Some(CopyRefusal {
+        copies_before: unknown.iter().map(|unknown| unknown.until).max()?,
+        in_force_from: unknown.iter().map(|unknown| unknown.in_force_from).min()?,
+    })
+}
