--- a/crates/cli/tests/purge_news/change_log.rs
+++ b/crates/cli/tests/purge_news/change_log.rs
@@ -1,5 +1,7 @@
 //! A stand-in for the change log that moves, is down, falls silent or answers late, and records what the pages' times
 //! follow from.
+// Each test program uses a part of it.
+#![allow(dead_code)]
 
 use super::common::polls::{self, Poll};
 use serde_json::{Value, json};
@@ -7,10 +9,12 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{self, sleep};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Sequence number of the last event that a dispatcher starts with.
+/// Sequence number of the last event that a dispatcher starts with: the whole host list.
 const FIRST_SEQ: usize = 1;
+/// What is missing from an answer that breaks off.
+const CUT_OFF_BYTES: usize = 20;
 /// How often waiting threads look for events.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1);
 /// A change log that a reload has replaced closes its open connections after this time.
@@ -28,6 +32,8 @@
     Refused,
     /// Connections are refused, and open ones stay silent until they are closed.
     Retired,
+    /// The next answer breaks off in its middle. From then on connections are refused.
+    BreaksOff,
 }
 
 /// What happened at the change log.
@@ -43,10 +49,22 @@
     Replaced { at: Instant, connection: usize },
 }
 
+/// A purge of an object.
+#[derive(Clone, Copy, Debug)]
+pub struct Purge {
+    pub object: u64,
+    pub at: Instant,
+    unix_ms: u64,
+}
+
 /// The events of the change log, which move with it from address to address.
 #[derive(Default)]
 pub struct History {
-    purges: Vec<(u64, Instant)>,
+    /// The lines of the whole host list, which is the first event. Dispatchers start with it.
+    hosts: Vec<Value>,
+    /// How often the change log began anew. Each time the list takes one number more.
+    restarts: usize,
+    purges: Vec<Purge>,
     log: Vec<LogEvent>,
     connections: usize,
 }
@@ -74,7 +92,7 @@
         match self.service {
             Service::Refused => true,
             Service::Retired => self.since.elapsed() >= RETIRED_CLOSE_AFTER,
-            Service::Up | Service::Late(_) | Service::Silent => false,
+            Service::Up | Service::Late(_) | Service::Silent | Service::BreaksOff => false,
         }
     }
 }
@@ -101,13 +119,24 @@
 }
 
 impl History {
+    /// Creates the events of a change log that has the whole host list.
+    pub fn with_hosts(hosts: Vec<Value>) -> Self {
+        Self { hosts, ..Self::default() }
+    }
+
     /// Adds the purge of an object, made now.
     pub fn purge(&mut self, object: u64) {
-        self.purges.push((object, Instant::now()));
+        let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        self.purges.push(Purge { object, at: Instant::now(), unix_ms });
     }
 
-    /// All purges so far: object and time.
-    pub fn purges(&self) -> &[(u64, Instant)] {
+    /// The change log begins anew: its events have other numbers.
+    pub fn restart(&mut self) {
+        self.restarts += 1;
+    }
+
+    /// All purges so far.
+    pub fn purges(&self) -> &[Purge] {
         &self.purges
     }
 
@@ -115,17 +144,25 @@
         &self.log
     }
 
+    /// The number of the last event before the purges.
+    fn list_seq(&self) -> usize {
+        FIRST_SEQ + self.restarts
+    }
+
     fn last_seq(&self) -> usize {
-        FIRST_SEQ + self.purges.len()
+        self.list_seq() + self.purges.len()
     }
 
     /// The body of an answer with all events after a sequence number.
     fn answer_since(&self, since: usize) -> String {
-        let later = self.purges.iter().enumerate().skip(since.saturating_sub(FIRST_SEQ));
-        let event = |(index, (object, _)): (usize, &(u64, Instant))| -> Value {
-            json!({"seq": FIRST_SEQ + index + 1, "invalidate": {"object": format!("{object:016x}"), "time": 0}})
-        };
-        json!({"seq": self.last_seq(), "results": later.map(event).collect::<Vec<_>>()}).to_string()
+        let lists = (FIRST_SEQ..=self.list_seq())
+            .map(|seq| json!({"seq": seq, "fleet": {"index": 0, "snapshot": true, "endpoints": self.hosts}}));
+        let purges = self.purges.iter().zip(self.list_seq() + 1..).map(|(purge, seq)| {
+            let object = format!("{:016x}", purge.object);
+            json!({"seq": seq, "invalidate": {"object": object, "time": purge.unix_ms}})
+        });
+        let later: Vec<Value> = lists.chain(purges).skip(since).collect();
+        json!({"seq": self.last_seq(), "results": later}).to_string()
     }
 }
 
@@ -168,7 +205,14 @@
     while let Some(Poll { since, wait }) = read_poll(&mut stream, state) {
         let polled_at = Instant::now();
         lock(history).log.push(LogEvent::Polled { at: polled_at, wait, connection });
-        let Some(lateness) = wait_for_answer(state, history, since, polled_at + wait) else {
+        let answer = wait_for_answer(state, history, since, polled_at + wait);
+        let breaks_off = lock(state).service == Service::BreaksOff;
+        if breaks_off {
+            let text = polls::answer(&lock(history).answer_since(since));
+            let _ = stream.write_all(&text.as_bytes()[..text.len() - CUT_OFF_BYTES]);
+            *lock(state) = State::new(Service::Refused);
+        }
+        let Some(lateness) = answer.filter(|_| !breaks_off) else {
             let _ = stream.shutdown(Shutdown::Both);
             let at = Instant::now();
             let is_replaced = lock(state).service == Service::Retired;
@@ -217,7 +261,7 @@
         }
         let is_due = Instant::now() >= due_at || lock(history).last_seq() > since;
         match state.service {
-            Service::Up if is_due => return Some(Duration::ZERO),
+            Service::Up | Service::BreaksOff if is_due => return Some(Duration::ZERO),
             Service::Late(lateness) if is_due => return Some(lateness),
             _ => sleep(LOOK_INTERVAL),
         }
--- a/crates/cli/tests/purge_news/main.rs
+++ b/crates/cli/tests/purge_news/main.rs
@@ -6,15 +6,17 @@
 
 mod change_log;
 mod host;
+mod lag;
 mod oracle;
 mod scenario;
 
-use change_log::{ChangeLog, History, Service};
+use change_log::{ChangeLog, History, Purge, Service};
 use common::{
     KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal, setting,
     unused_address, wait_until_listening,
 };
 use host::{Arrival, Host};
+use lag::{LagWatch, lag_around};
 use scenario::{DURATION, File, OBJECTS, Scenario, Step};
 use serde_json::Value;
 use std::io::Write;
@@ -163,44 +165,6 @@
     returned
 }
 
-/// Records how late the machine wakes a thread.
-struct LagWatch {
-    is_stopped: Arc<AtomicBool>,
-    thread: thread::JoinHandle<Vec<(Instant, Duration)>>,
-}
-
-impl LagWatch {
-    const INTERVAL: Duration = Duration::from_millis(2);
-
-    fn start() -> Self {
-        let is_stopped = Arc::new(AtomicBool::new(false));
-        let is_over = Arc::clone(&is_stopped);
-        let thread = thread::spawn(move || {
-            let mut lags = Vec::new();
-            while !is_over.load(Ordering::SeqCst) {
-                let slept_at = Instant::now();
-                sleep(Self::INTERVAL);
-                lags.push((Instant::now(), slept_at.elapsed() - Self::INTERVAL));
-            }
-            lags
-        });
-        Self { is_stopped, thread }
-    }
-
-    fn stop(self) -> Vec<(Instant, Duration)> {
-        self.is_stopped.store(true, Ordering::SeqCst);
-        self.thread.join().unwrap()
-    }
-}
-
-/// The longest lag that ended within a short time before a moment, or in it.
-fn lag_around(lags: &[(Instant, Duration)], at: Instant) -> Duration {
-    const SPAN: Duration = Duration::from_millis(100);
-    let from = lags.partition_point(|&(ended_at, _)| ended_at + SPAN < at);
-    let near = lags[from..].iter().take_while(|&&(ended_at, lag)| ended_at <= at + lag + LagWatch::INTERVAL);
-    near.map(|&(_, lag)| lag).max().unwrap_or_default()
-}
-
 /// What a scenario brought.
 struct Outcome {
     broken: Vec<String>,
@@ -243,7 +207,7 @@
     }
     let arrivals = rig.host.arrivals();
     let history = rig.history.lock().unwrap();
-    for &(object, purged_at) in history.purges() {
+    for &Purge { object, at: purged_at, .. } in history.purges() {
         let told_at = oracle::told_at(purged_at, history.log(), &rig.sighups);
         let late = oracle::late_copies(&arrivals, (object, purged_at), told_at, |at| lag_around(&lags, at));
         if let Some(first) = late.first() {
