Dispatcher: copies from before events that are missing for good are refused

If the change log no longer has some events, the dispatcher says so in its log and goes on, and the poll counted as answered: all purges up to it as received. One among the missing events forbade nothing, until the caches dropped its copies.

Cause: `on_poll_answered` takes an answer for whole.

Change: a gap that is passed over is recorded as purges up to now that no poll will tell, in force from the grace after the poll, or from when earlier polls had them in force. It ends when no cache keeps such a copy. Each object costs one fill.

--- a/crates/dispatcher/src/routing/news.rs
+++ b/crates/dispatcher/src/routing/news.rs
@@ -264,11 +264,23 @@
                 "sequence gap in the change log, from {last_seq} to {seq}; {next_step}"
             ));
         }
+        if matches!(step, SequenceCheck::GapAccepted(_)) && self.replicas.is_none() {
+            self.on_events_missed();
+        }
         let is_accepted = matches!(step, SequenceCheck::Next | SequenceCheck::GapAccepted(_));
         self.counters.changes += u64::from(is_accepted);
         is_accepted
     }
 
+    /// Purges may be among events that the change log no longer has. At the start none are missing: those before the
+    /// first event are older than the process.
+    fn on_events_missed(&mut self) {
+        let polled_at = self.change_log.polled_at();
+        if !polled_at.is_zero() {
+            self.purge_news.on_events_missed(polled_at, self.now);
+        }
+    }
+
     /// Skips changes up to a sequence number.
     pub fn skip_changes_up_to(&mut self, last_seq: u64) {
         self.change_log.last_seq = self.change_log.last_seq.max(last_seq);
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -252,3 +252,27 @@
     let after = rig.trace.rsplit_once("timeout=").expect("a poll").1;
     after.split(' ').next().unwrap().parse().expect("milliseconds")
 }
+
+/// Guards against copies from before a purge that was among events which the change log no longer has: nothing refused them,
+/// although the dispatcher knew that events are missing for good.
+#[test]
+fn copies_from_before_events_that_are_missing_for_good_are_refused() {
+    let mut rig = DispatcherRig::new();
+    rig.answer_poll(&json!({"seq": 1, "results": []}).to_string());
+    rig.wait_for_poll();
+    let other_purge = json!({"seq": 5, "invalidate": {"bucket": 99, "time": 0}});
+    let gap = json!({"seq": 5, "results": [other_purge]}).to_string();
+    rig.answer_poll(&gap);
+    rig.trace_poll();
+    rig.answer_poll(&gap);
+    for _ in 0..3 {
+        rig.wait_for_poll();
+        rig.run_for_ms(400);
+        rig.answer_poll(&json!({"seq": 5, "results": []}).to_string());
+    }
+    rig.run_for_ms(50);
+    send_get_on_new_connection(&mut rig, 1);
+    rig.wait_for_lines(1);
+    let accepted_ms = last_accepted_age_ms(&rig);
+    assert!((1000..2000).contains(&accepted_ms), "a copy of {accepted_ms} ms is accepted");
+}
