Control service: a proxy whose clock is ahead takes no copy for younger than a purge

What callers saw: nothing was reported; the property test of refused copies found it once its copies were 3 ms older than the purge. A proxy whose clock is ahead by the clock error (10 ms unless set) accepted copies of up to 8 ms before a purge that it had received.

Cause: a purge was published with its own time, and a proxy turns it into an age by its own clock. The lease allows for the clock error, the purge did not.

Change: purges are published later by the clock error, and end as much later. Copies from within the clock error after a purge are refused, too: one more fill of such an object.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -117,6 +117,8 @@
     /// By zone index: whether the caches of the zone are chosen here.
     serves_zone: Vec<bool>,
     max_purge_delay: Duration,
+    /// The most that the clock of a proxy differs.
+    clock_error: Duration,
     /// The terms last published, by service.
     terms: Vec<Option<TermsLine>>,
     is_static_config_published: bool,
@@ -165,6 +167,7 @@
             withheld_fractions: vec![0.0; zones],
             serves_zone: (0..zones).map(|zone| served_zones.contains(&zone)).collect(),
             max_purge_delay: settings::duration(settings, "domain.gone_everywhere_ms")?,
+            clock_error: Duration::ZERO,
             is_static_config_published: false,
             is_assignment_stale: [false; 3],
             assigned_at: [Duration::ZERO; 3],
@@ -173,6 +176,12 @@
         })
     }
 
+    /// Sets the most that the clock of a proxy differs. A proxy whose clock is ahead takes copies for younger than they are.
+    pub fn with_clock_error(mut self, clock_error: Duration) -> Self {
+        self.clock_error = clock_error;
+        self
+    }
+
     /// The clock that all times passed in come from.
     pub fn clock(&self) -> &Clock {
         &self.clock
@@ -543,7 +552,8 @@
                 server.put(ResourceType::Notice, &name, Some(notice), false);
             }
         }
-        let max_delay_ms = self.max_purge_delay.as_millis() as u64;
+        let max_delay_ms = (self.max_purge_delay + self.clock_error).as_millis() as u64;
+        let clock_error_ms = self.clock_error.as_millis() as u64;
         let expired = self.purges.extract_if(.., |_, at| unix_ms >= at.saturating_add(max_delay_ms));
         for (key, _) in expired.collect::<Vec<_>>() {
             server.put(ResourceType::Notice, &purge_resource_name(key), None, false);
@@ -552,7 +562,10 @@
             let name = purge_resource_name(key);
             let published = server.cache().get(ResourceType::Notice, &name);
             if published.is_none_or(|published| published.version.incarnation < at) {
-                let line = PurgeLine { at_unix_ms: at, until_unix_ms: at.saturating_add(max_delay_ms) };
+                let line = PurgeLine {
+                    at_unix_ms: at.saturating_add(clock_error_ms),
+                    until_unix_ms: at.saturating_add(max_delay_ms),
+                };
                 let notice = resource(at, 1, &format!("{line:?}"), line.encode_notice(&name), false);
                 server.put(ResourceType::Notice, &name, Some(notice), true);
             }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -169,7 +169,8 @@
         let news = news.transpose()?;
         let mut service = Self {
             name: control.name.clone(),
-            fleet: Fleet::new(&file.decision_settings, fastrand::u64(..), clock)?,
+            fleet: Fleet::new(&file.decision_settings, fastrand::u64(..), clock)?
+                .with_clock_error(control.clock_error),
             server: AdsServer::new(lease, control.max_proxies),
             reports: LoadReports::new(control.report_interval, now),
             zones: ZoneController::from_file(file, control.report_interval, now),
--- a/crates/control/tests/copy_refusals.rs
+++ b/crates/control/tests/copy_refusals.rs
@@ -32,8 +32,8 @@
 /// The object that is purged.
 const OBJECT: u64 = 0x11;
 const OBJECT_NAME: &str = "0000000000000011";
-/// Copies are older than the purge by this: the times of received purges are those of other clocks, and are rounded.
-const COPY_LEAD: Duration = Duration::from_millis(13);
+/// Copies are older than the purge by this, so that rounding can't matter.
+const COPY_LEAD: Duration = Duration::from_millis(3);
 
 /// What becomes of the answer to a poll that comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,7 +116,9 @@
 
 impl<'a> Running<'a> {
     fn start(drawn: &'a Instance, start_unix_ms: u64) -> Self {
-        let mut control = TestControlPlane::new(1, 1);
+        let TestControlPlane { fleet, server, now } = TestControlPlane::new(1, 1);
+        let fleet = fleet.with_clock_error(ms(CLOCK_ERROR_MS as u64));
+        let mut control = TestControlPlane { fleet, server, now };
         // All instances have the same Unix time, though their clocks were started one after the other.
         let epoch = control.now.saturating_sub(ms(control.unix_ms() - start_unix_ms));
         let settings = myrtlegauge_operator::read(common::EXAMPLE).unwrap().decision_settings;
