--- a/crates/control/tests/copy_refusals.rs
+++ b/crates/control/tests/copy_refusals.rs
@@ -10,7 +10,8 @@
 use myrtlegauge::purge_news::{EventTime, PurgeNews};
 use myrtlegauge_control::ads_server::{Message, Priority, ProtocolVariant};
 use myrtlegauge_control::copy_refusals::{
-    COPY_REFUSALS, COPY_REFUSALS_FEATURE, ClockReading, CopyRefusals, RefusalPlanner,
+    AgeLimit, COPY_REFUSALS, COPY_REFUSALS_FEATURE, ClockReading, CopyRefusals, Refusal, RefusalPlanner,
+    RefusalStart,
 };
 use myrtlegauge_wire::poll_records::pause_between;
 use proptest::prelude::*;
@@ -482,3 +483,26 @@
     }
     assert!(published <= 62, "{published} messages to each proxy in a minute");
 }
+
+/// Guards against a published text that changes: instances compare the versions that are made from it.
+#[test]
+fn the_text_that_is_hashed_into_versions_is_stable_and_the_notice_small() {
+    const MAX_NOTICE_BYTES: usize = 640;
+    let start = RefusalStart { unix_ms: 1_764_576_003_000, delay_ms: 350 };
+    let refusal =
+        Refusal { copies_before_unix_ms: 1_764_576_000_010, start, until_unix_ms: 1_764_576_006_010 };
+    let age_limit = Some(AgeLimit { max_age_ms: 8000, start });
+    let refusals = CopyRefusals { refusals: vec![refusal, refusal], age_limit };
+    let start_text = "RefusalStart { unix_ms: 1764576003000, delay_ms: 350 }";
+    let refusal_text = format!(
+        "Refusal {{ copies_before_unix_ms: 1764576000010, start: {start_text}, until_unix_ms: 1764576006010 }}"
+    );
+    let age_limit_text = format!("Some(AgeLimit {{ max_age_ms: 8000, start: {start_text} }})");
+    assert_eq!(
+        format!("{refusals:?}"),
+        format!("CopyRefusals {{ refusals: [{refusal_text}, {refusal_text}], age_limit: {age_limit_text} }}")
+    );
+    let length = refusals.encode_notice().len();
+    println!("{length} bytes, {} empty", CopyRefusals::default().encode_notice().len());
+    assert!(length <= MAX_NOTICE_BYTES, "{length} bytes");
+}
