Purges: an answer settles nothing that an earlier poll would have told after it

What callers saw: nothing was reported; the property test of refused copies found it.

Cause: an answer dropped all records of earlier polls, also that of what they would have told at their due time.

Change: such a record ends with the poll's own answer, or that to a poll which was sent no earlier than the due time; one record covers another by the same rule.

--- a/src/purge_news.rs
+++ b/src/purge_news.rs
@@ -37,9 +37,17 @@
         self.in_force_from <= now
     }
 
+    /// Whether the answer to a poll that was sent at a time has told all of these purges. What an unanswered poll would
+    /// have told at its due time is told by its own answer, or by that to a poll which was sent no earlier than then.
+    fn is_told_by_answer(&self, sent_at: Duration) -> bool {
+        let is_other_poll = self.told_by_poll_at < sent_at;
+        let is_due_later = self.cause == Cause::AnswerOverdue && self.until > sent_at;
+        self.told_by_poll_at <= sent_at && !(is_other_poll && is_due_later)
+    }
+
     /// Whether these purges include others, and only a poll that tells these tells the others as well.
     fn covers(&self, other: &Self) -> bool {
-        other.until <= self.until && other.told_by_poll_at <= self.told_by_poll_at
+        other.until <= self.until && other.is_told_by_answer(self.told_by_poll_at)
     }
 }
 
@@ -158,7 +166,7 @@
     /// A poll was answered in whole: all purges until it was sent were received.
     pub fn on_poll_answered(&mut self, sent_at: Duration) {
         self.known_until = self.known_until.max(sent_at);
-        self.unknown.retain(|unknown| unknown.told_by_poll_at > sent_at);
+        self.unknown.retain(|unknown| !unknown.is_told_by_answer(sent_at));
     }
 
     /// The connection of an unanswered poll was lost.
--- a/tests/purge_news.rs
+++ b/tests/purge_news.rs
@@ -6,7 +6,8 @@
 
 use common::{DispatcherRig, ms, object_request, settings};
 use drawn_polls::{
-    Fate, GONE_AFTER, GRACE, KNOWN_AT_LATEST, MAX_LATE_MS, Poll, SOCKET_SLACK, WAIT, known_by_poll, polls,
+    Fate, GONE_AFTER, GRACE, KNOWN_AFTER_LOSS, KNOWN_AT_LATEST, MAX_LATE_MS, Poll, SOCKET_SLACK, WAIT,
+    known_by_poll, polls,
 };
 use myrtlegauge::purge_news::{EventTime, PurgeNews};
 use proptest::prelude::*;
@@ -151,6 +152,20 @@
     }
 }
 
+/// Guards against a purge that only an earlier poll would have told, which stays unanswered: the answer to a later poll settled
+/// both, though the purge came after it.
+#[test]
+fn an_answer_settles_nothing_that_an_earlier_poll_would_have_told_after_it() {
+    let mut news = new_state();
+    let (first, second) = (ms(1000), ms(1100));
+    news.on_poll_sent(first, first + WAIT);
+    news.on_poll_sent(second, second + WAIT);
+    news.on_poll_answered(second);
+    let purged_at = first + WAIT;
+    let in_force_from = first + WAIT + KNOWN_AFTER_LOSS + GRACE + SOCKET_SLACK;
+    assert!(news.in_force_until(in_force_from) >= Some(purged_at));
+}
+
 /// The oldest copy that the last forward of the trace accepts, in milliseconds.
 fn last_accepted_age_ms(rig: &DispatcherRig) -> u64 {
     let after = rig.trace.rsplit_once("cap=").expect("a forward with an accepted age").1;
