Tests of the change log with processes: one judge and one player of seeds for both programs

Cause: `control_news` had written the loops of `purge_news` again. The state of the control service's change log took its settings with an untyped error.

Change: the oracle judges a whole history, `seeds` plays batches; assertions stay. The time after which no cache holds a purged copy comes from the fleet, which has read it.

--- a/crates/cli/tests/control_news/main.rs
+++ b/crates/cli/tests/control_news/main.rs
@@ -13,8 +13,10 @@
 mod oracle;
 mod proxies;
 mod scenario;
+#[path = "../purge_news/seeds.rs"]
+mod seeds;
 
-use change_log::{ChangeLog, History, Purge, Service};
+use change_log::{ChangeLog, History, Service};
 use common::{
     KillOnDrop, TempFile, host_line, program, send_signal, setting, unused_address, wait_until_listening,
 };
@@ -22,6 +24,7 @@
 use lag::{LagWatch, lag_around};
 use proxies::{Proxies, Totals};
 use scenario::{DURATION, OBJECTS, Scenario, Step};
+use seeds::play_seeds;
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::process::Stdio;
@@ -149,17 +152,7 @@
     }
     let arrivals = rig.host.arrivals();
     let history = rig.history.lock().unwrap();
-    for &Purge { object, at: purged_at, .. } in history.purges() {
-        let told_at = oracle::told_at(purged_at, history.log(), &[]);
-        let late = oracle::late_copies(&arrivals, (object, purged_at), told_at, |at| lag_around(&lags, at));
-        if let Some(first) = late.first() {
-            let (purged, told) = (purged_at - started_at, told_at - started_at);
-            broken.push(format!(
-                "object {object}, purged {purged:.2?}, told {told:.2?}: {} late copies, first {first}",
-                late.len()
-            ));
-        }
-    }
+    broken.extend(oracle::judge(&history, &[], &arrivals, started_at, |at| lag_around(&lags, at)));
     Outcome { broken, totals, arrivals }
 }
 
@@ -186,15 +179,7 @@
 fn drawn_outages_bring_no_copy_from_before_a_purge_that_counts_as_told_to_a_proxy() {
     let first = setting(FIRST_SEED);
     let seeds: Vec<u64> = (first..first + setting(SEEDS)).collect();
-    let mut broken = Vec::new();
-    for batch in seeds.chunks(PARALLEL) {
-        let threads: Vec<_> =
-            batch.iter().map(|&seed| (seed, thread::spawn(move || play_seed(seed)))).collect();
-        for (seed, thread) in threads {
-            let faults = thread.join().unwrap();
-            broken.extend(faults.into_iter().map(|fault| format!("seed {seed}: {fault}")));
-        }
-    }
+    let broken = play_seeds(&seeds, PARALLEL, play_seed);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
--- a/crates/cli/tests/purge_news/main.rs
+++ b/crates/cli/tests/purge_news/main.rs
@@ -9,8 +9,9 @@
 mod lag;
 mod oracle;
 mod scenario;
+mod seeds;
 
-use change_log::{ChangeLog, History, Purge, Service};
+use change_log::{ChangeLog, History, Service};
 use common::{
     KillOnDrop, TempFile, config, initial_events, program, read_response, request, send_signal, setting,
     unused_address, wait_until_listening,
@@ -18,6 +19,7 @@
 use host::{Arrival, Host};
 use lag::{LagWatch, lag_around};
 use scenario::{DURATION, File, OBJECTS, Scenario, Step};
+use seeds::play_seeds;
 use serde_json::Value;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -207,17 +209,7 @@
     }
     let arrivals = rig.host.arrivals();
     let history = rig.history.lock().unwrap();
-    for &Purge { object, at: purged_at, .. } in history.purges() {
-        let told_at = oracle::told_at(purged_at, history.log(), &rig.sighups);
-        let late = oracle::late_copies(&arrivals, (object, purged_at), told_at, |at| lag_around(&lags, at));
-        if let Some(first) = late.first() {
-            let (purged, told) = (purged_at - started_at, told_at - started_at);
-            broken.push(format!(
-                "object {object}, purged {purged:.2?}, told {told:.2?}: {} late copies, first {first}",
-                late.len()
-            ));
-        }
-    }
+    broken.extend(oracle::judge(&history, &rig.sighups, &arrivals, started_at, |at| lag_around(&lags, at)));
     Outcome { broken, returned, arrivals }
 }
 
@@ -239,27 +231,13 @@
     outcome.broken
 }
 
-/// Plays seeds, several at a time, and returns what was broken.
-fn play_seeds(seeds: &[u64]) -> Vec<String> {
-    let mut broken = Vec::new();
-    for batch in seeds.chunks(PARALLEL) {
-        let threads: Vec<_> =
-            batch.iter().map(|&seed| (seed, thread::spawn(move || play_seed(seed)))).collect();
-        for (seed, thread) in threads {
-            let faults = thread.join().unwrap();
-            broken.extend(faults.into_iter().map(|fault| format!("seed {seed}: {fault}")));
-        }
-    }
-    broken
-}
-
 /// Guards against copies from before a purge that counts as told after drawn reloads, outages and stops (review case 8).
 /// `PURGE_NEWS_SEED` and `PURGE_NEWS_SEEDS` choose the seeds.
 #[test]
 fn drawn_reloads_and_outages_bring_no_copy_from_before_a_purge_that_counts_as_told() {
     let first = setting(FIRST_SEED);
     let seeds: Vec<u64> = (first..first + setting(SEEDS)).collect();
-    let broken = play_seeds(&seeds);
+    let broken = play_seeds(&seeds, PARALLEL, play_seed);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
@@ -267,7 +245,7 @@
 #[test]
 fn the_seeds_that_found_faults_bring_no_copy_from_before_a_purge_that_counts_as_told() {
     const FOUND_SEEDS: [u64; 3] = [15, 35, 38];
-    let broken = play_seeds(&FOUND_SEEDS);
+    let broken = play_seeds(&FOUND_SEEDS, PARALLEL, play_seed);
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
--- a/crates/cli/tests/purge_news/oracle.rs
+++ b/crates/cli/tests/purge_news/oracle.rs
@@ -2,7 +2,7 @@
 //! 2 s after a break, 2 s after the end of the requested wait of a poll that is not answered, 4 s after SIGHUP, and 7 s
 //! after it was made at the latest.
 
-use super::change_log::LogEvent;
+use super::change_log::{History, LogEvent, Purge};
 use super::host::Arrival;
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -113,3 +113,24 @@
     });
     judged.filter(|late| late.accepted_age.is_none_or(|age| age > late.purged_ago + AGE_RESOLUTION)).collect()
 }
+
+/// Judges each purge by the requests that came to the host. Returns what was broken.
+pub fn judge(
+    history: &History,
+    sighups: &[Instant],
+    arrivals: &[Arrival],
+    started_at: Instant,
+    lag_at: impl Fn(Instant) -> Duration,
+) -> Vec<String> {
+    let judge_purge = |&Purge { object, at: purged_at, .. }: &Purge| {
+        let told_at = told_at(purged_at, history.log(), sighups);
+        let late = late_copies(arrivals, (object, purged_at), told_at, &lag_at);
+        let first = late.first()?;
+        let (purged, told) = (purged_at - started_at, told_at - started_at);
+        Some(format!(
+            "object {object}, purged {purged:.2?}, told {told:.2?}: {} late copies, first {first}",
+            late.len()
+        ))
+    };
+    history.purges().iter().filter_map(judge_purge).collect()
+}
--- a/crates/control/src/copy_refusals.rs
+++ b/crates/control/src/copy_refusals.rs
@@ -23,6 +23,7 @@
 /// Refusals that come into force within this time after the next one are published with it, so that a change log that
 /// breaks off again and again does not cause a message each time.
 const MERGE_TIME: Duration = Duration::from_millis(1000);
+
 /// Copies from before a time that are refused from a time until a time, in Unix milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -182,6 +182,11 @@
         self
     }
 
+    /// From this long after a purge on, no cache holds a copy that it forbids.
+    pub fn max_purge_delay(&self) -> Duration {
+        self.max_purge_delay
+    }
+
     /// The clock that all times passed in come from.
     pub fn clock(&self) -> &Clock {
         &self.clock
--- a/crates/control/src/news.rs
+++ b/crates/control/src/news.rs
@@ -7,7 +7,6 @@
 use crate::refusal_watch::RefusalWatch;
 use crate::service::{ChangeLog, Service};
 use myrtlegauge::purge_news::PurgeNews;
-use myrtlegauge::settings;
 use myrtlegauge_operator::OperatorFile;
 use myrtlegauge_operator::file::ControlSettings;
 use myrtlegauge_wire::change_log_client::{ChangeLogClient, SequenceCheck};
@@ -59,11 +58,11 @@
         lease: Lease,
         file: &OperatorFile,
         control: &ControlSettings,
+        max_copy_lifetime: Duration,
         now: Duration,
-    ) -> Result<Self, String> {
-        let max_copy_lifetime = settings::duration(&file.decision_settings, "domain.gone_everywhere_ms")?;
+    ) -> Self {
         let answer_within = answer_within(control.purge_grace, lease, control.clock_error);
-        Ok(Self {
+        Self {
             client: ChangeLogClient::new(address, ChangeLog).with_overlap().with_answer_within(answer_within),
             is_socket_ready: false,
             last_event: LastEvent::default(),
@@ -72,7 +71,7 @@
             wait_times: WaitTimes::new(now),
             planner: RefusalPlanner::new(lease, control.clock_error, max_copy_lifetime),
             watch: RefusalWatch::default(),
-        })
+        }
     }
 
     /// The answer that came now is not used.
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -165,12 +165,13 @@
         let derive_lease =
             if control.change_log.is_some() { Lease::with_polled_purges } else { Lease::from_grace_periods };
         let lease = derive_lease(control.drain_grace, control.purge_grace, control.clock_error);
-        let news = control.change_log.map(|address| News::new(address, lease, file, control, now));
-        let news = news.transpose()?;
+        let fleet = Fleet::new(&file.decision_settings, fastrand::u64(..), clock)?
+            .with_clock_error(control.clock_error);
+        let follow = |address| News::new(address, lease, file, control, fleet.max_purge_delay(), now);
+        let news = control.change_log.map(follow);
         let mut service = Self {
             name: control.name.clone(),
-            fleet: Fleet::new(&file.decision_settings, fastrand::u64(..), clock)?
-                .with_clock_error(control.clock_error),
+            fleet,
             server: AdsServer::new(lease, control.max_proxies),
             reports: LoadReports::new(control.report_interval, now),
             zones: ZoneController::from_file(file, control.report_interval, now),
